--- /dev/null
+++ b/primroseglade/addresses.py
@@ -0,0 +1,34 @@
+"""Addresses: an IP number and a port, as settings and the document write them."""
+
+import ipaddress
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Split ``IP:PORT`` and check both.
+
+    Args:
+        text: An IPv4 or a bracketed IPv6 number, a colon and a port (0 to 65535).
+
+    Raises:
+        ValueError: The text is not such an address; host names are not looked up.
+
+    >>> parse_address("127.0.0.1:8080")
+    ('127.0.0.1', 8080)
+    >>> parse_address("[::1]:80")
+    ('::1', 80)
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon or not port.isdecimal() or int(port) > 65535:
+        raise ValueError(f"{text!r} is not IP:PORT")
+    host = host.removeprefix("[").removesuffix("]")
+    ipaddress.ip_address(host)
+    return host, int(port)
+
+
+def join_address(host: str, port: int) -> str:
+    """Join an IP number and a port.
+
+    >>> join_address("::1", 80)
+    '[::1]:80'
+    """
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- /dev/null
+++ b/primroseglade/announcing.py
@@ -0,0 +1,62 @@
+"""How the backend server beside a node announces itself, over loopback HTTP."""
+
+import json
+from typing import Any
+
+from blacksheep import Application, Content, Request, Response
+
+from .calls.backend import Announcement, BackendServer
+from .errors import InputError
+from .listener import as_handler, build_application
+from .settings.node import ADDRESS, NAME
+from .settings.reader import build_validator, check
+
+PREFIX = b"/-/"
+PATH = "/-/backend-server"
+
+_validator = build_validator(
+    {
+        "type": "object",
+        "additionalProperties": False,
+        "required": ["service", "address"],
+        "properties": {
+            "service": NAME,
+            "address": ADDRESS,
+            "slots": {"type": "integer", "minimum": 1},
+            "connections": {"type": "integer", "minimum": 1},
+            "draining": {"type": "boolean"},
+        },
+    }
+)
+
+
+def build_announcing_application(backend: BackendServer) -> Application:
+    """Return the application that takes a backend server's announcements."""
+
+    async def announce(request: Request) -> Response:
+        try:
+            fields = json.loads(await request.read() or b"null")
+            check(fields, _validator, "announcement")
+        except InputError as error:
+            return answer_json(400, {"error": str(error)})
+        except ValueError:
+            return answer_json(400, {"error": "announcement: not JSON"})
+        if not backend.announce(Announcement(**fields)):
+            problem = "the document does not trust this backend server"
+            return answer_json(403, {"error": problem})
+        return answer_json(200, {"serving": backend.serving})
+
+    async def leave(_: Request) -> Response:
+        backend.withdraw()
+        return answer_json(200, {"serving": False})
+
+    app = build_application()
+    app.router.add_put(PATH, as_handler(announce))
+    app.router.add_delete(PATH, as_handler(leave))
+    return app
+
+
+def answer_json(status: int, value: Any) -> Response:
+    """Return a response that holds JSON."""
+    body = json.dumps(value, indent=2).encode() + b"\n"
+    return Response(status, content=Content(b"application/json", body))
--- /dev/null
+++ b/primroseglade/calls/backend.py
@@ -0,0 +1,364 @@
+"""The backend server beside this node: its state, admission, and calls to it."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+from ..limits.admission import AdmissionQueue
+from ..limits.concurrency import ConcurrencyLimit
+from ..observe.events import (
+    BACKEND_ANNOUNCED,
+    BACKEND_DRAINING,
+    BACKEND_REFUSED,
+    BACKEND_SILENT,
+    BACKEND_WITHDRAWN,
+    Journal,
+)
+from ..observe.metrics import Metrics
+from ..settings.node import NodeSettings
+from ..verdicts import not_run, Reason, Refusal, Verdict
+from .call import Answer, Call, Context, InFlight
+from .connections import build_head, Connection, iterate_until, Pool, Response
+from .handles import Handles, refuse_withdrawn
+from .headers import (
+    DEADLINE_MS,
+    find_header,
+    HANDLE,
+    keep_answer_headers,
+    TRACEPARENT,
+    WORKSPACE,
+)
+
+VERDICT = b"primroseglade-verdict"
+# A call is taken for stuck on a silent connection only when it waits this many times
+# longer than calls usually take: a slow service must not look like a dead link.
+SLOWER_THAN_USUAL = 4.0
+
+
+class Announcement:
+    """What a backend server says of itself.
+
+    Args:
+        service: What it serves.
+        address: ``IP:PORT``.
+        slots: Calls that it takes at once, or None.
+        connections: Connections that it takes, or None.
+        draining: Whether it wants no new calls.
+    """
+
+    __slots__ = ("address", "connections", "draining", "service", "slots")
+
+    def __init__(
+        self,
+        service: str,
+        address: str,
+        slots: int | None = None,
+        connections: int | None = None,
+        draining: bool = False,
+    ):
+        self.service = service
+        self.address = address
+        self.slots = slots
+        self.connections = connections
+        self.draining = draining
+
+
+class BackendServer:
+    """Admits calls to the backend server and sends them.
+
+    Args:
+        settings: Limits and timeouts.
+        trusts: Whether the document trusts an address for a service.
+        holds_key: Whether a workspace's key still stands.
+        on_change: Called when it starts or stops serving.
+        handles: Issues handles for nested calls.
+        journal: Told of its state.
+        metrics: Counts its calls.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        trusts: Callable[[str, str], bool],
+        holds_key: Callable[[str, str], bool],
+        on_change: Callable[[], None],
+        handles: Handles,
+        journal: Journal,
+        metrics: Metrics,
+    ):
+        self._settings = settings
+        self._trusts = trusts
+        self._holds_key = holds_key
+        self._on_change = on_change
+        self._handles = handles
+        self._journal = journal
+        self._metrics = metrics
+        self._announcement: Announcement | None = None
+        self._pool: Pool | None = None
+        self._leaving = False
+        self._in_flight = InFlight()
+        self._queue = AdmissionQueue(
+            ConcurrencyLimit(settings.limits.slots),
+            settings.limits.queue,
+            settings.timeouts.queue,
+        )
+
+    @property
+    def announcement(self) -> Announcement | None:
+        """What it said last, or None."""
+        return self._announcement
+
+    @property
+    def serving(self) -> bool:
+        """Whether it takes new calls."""
+        announced = self._announcement
+        return announced is not None and not announced.draining and not self._leaving
+
+    @property
+    def queue(self) -> AdmissionQueue:
+        """The calls that wait for it."""
+        return self._queue
+
+    @property
+    def in_flight(self) -> InFlight:
+        """The calls that it has."""
+        return self._in_flight
+
+    @property
+    def load(self) -> bytes:
+        """In flight, limit and queued, as answers tell other nodes."""
+        queue = self._queue
+        return b"%d,%d,%d" % (queue.in_flight, queue.limit.value, queue.size)
+
+    def announce(self, announcement: Announcement) -> bool:
+        """Take an announcement; False where the document does not trust it."""
+        known = self._announcement
+        if not self._trusts(announcement.service, announcement.address):
+            if known is None or known.address != announcement.address:
+                self._journal.emit(
+                    BACKEND_REFUSED,
+                    service=announcement.service,
+                    address=announcement.address,
+                )
+            return False
+        was_serving = self.serving
+        is_new = known is None or known.address != announcement.address
+        self._announcement = announcement
+        if is_new:
+            self._connect(announcement)
+        elif known is not None and known.slots != announcement.slots:
+            self._queue.replace_limit(self._build_limit(announcement))
+        if is_new or was_serving != self.serving:
+            event = BACKEND_ANNOUNCED if self.serving else BACKEND_DRAINING
+            self._journal.emit(
+                event, service=announcement.service, address=announcement.address
+            )
+            self._on_change()
+        return True
+
+    def withdraw(self) -> None:
+        """Forget it: it left, or nobody trusts it any more."""
+        self._announcement = None
+        if self._pool is not None:
+            self._pool.close_idle()
+        self._queue.refuse_where(lambda _: _refuse_draining())
+        self._on_change()
+
+    def leave(self) -> None:
+        """Take no new calls: this node stops."""
+        self._leaving = True
+        self._on_change()
+
+    def apply_document(self) -> None:
+        """Drop what the document withdrew: waiting calls, and the server itself."""
+        self._queue.refuse_where(
+            lambda context: refuse_withdrawn(self._holds_key, context)
+        )
+        announced = self._announcement
+        if announced and not self._trusts(announced.service, announced.address):
+            self._journal.emit(
+                BACKEND_WITHDRAWN, service=announced.service, address=announced.address
+            )
+            self.withdraw()
+
+    async def serve(self, call: Call) -> Answer:
+        """Admit a call and send it.
+
+        Raises:
+            Refusal: With the verdict that is known.
+        """
+        self._check_serving(call)
+        waited = await self._queue.acquire(call.context)
+        self._metrics.queue_seconds.observe(waited)
+        released = False
+        try:
+            # The key or the backend server may have gone while the call waited.
+            refusal = refuse_withdrawn(self._holds_key, call.context)
+            if refusal is not None:
+                raise refusal
+            self._check_serving(call)
+            answer, released = await self._send(call)
+            return answer
+        finally:
+            if not released:
+                self._queue.release()
+
+    def _check_serving(self, call: Call) -> None:
+        announced = self._announcement
+        if announced is None or announced.service != call.service:
+            raise not_run(
+                Reason.NO_BACKEND_SERVER, f"no backend server of {call.service} here"
+            )
+        if not self.serving:
+            raise _refuse_draining()
+
+    async def _send(self, call: Call) -> tuple[Answer, bool]:
+        """Return the answer, and whether its stream gives the turn back later."""
+        assert self._pool is not None
+        pool = self._pool
+        started = time.monotonic()
+        handle = self._handles.issue(call.context)
+        streams = False
+        self._in_flight.__enter__()
+        connection: Connection | None = None
+        try:
+            async with asyncio.timeout_at(
+                asyncio.get_running_loop().time() + call.context.remaining
+            ):
+                connection = await pool.acquire()
+                response = await self._exchange(call, connection, pool, handle)
+            self._note(response, started)
+            headers = keep_answer_headers(response.headers)
+            if response.complete:
+                return Answer(response.status, headers, connection.take_held()), False
+            streams = True
+            stream = iterate_until(connection, call.context)
+
+            def close() -> None:
+                self._finish(connection, pool, handle)
+                self._queue.release()
+
+            answer = Answer(
+                response.status, headers, None, response.length, stream, close
+            )
+            return answer, True
+        except asyncio.TimeoutError as error:
+            raise self._build_timeout(connection) from error
+        finally:
+            if not streams:
+                self._finish(connection, pool, handle)
+
+    async def _exchange(
+        self, call: Call, connection: Connection, pool: Pool, handle: bytes
+    ) -> Response:
+        context = call.context
+        remaining_ms = max(0, int(context.remaining * 1000))
+        headers = [
+            *call.headers,
+            (HANDLE, handle),
+            (WORKSPACE, context.workspace.encode()),
+            (DEADLINE_MS, b"%d" % remaining_ms),
+            (TRACEPARENT, context.traceparent),
+        ]
+        head = build_head(call.method, call.target, pool.address, headers, call.body)
+        watch = asyncio.get_running_loop().call_later(
+            self._get_patience(), self._suspect, connection, pool, context.idempotent
+        )
+        try:
+            response = await connection.exchange(head, call.body, call.method == "HEAD")
+        finally:
+            watch.cancel()
+        verdict = find_header(response.headers, VERDICT)
+        if response.status in (429, 503) and verdict == b"not run":
+            self._queue.limit.note_shed(time.monotonic())
+            raise not_run(
+                Reason.OVERLOADED,
+                "the backend server refused before it started",
+                self._queue.estimate_retry_after(),
+            )
+        return response
+
+    def _get_patience(self) -> float:
+        usual = SLOWER_THAN_USUAL * self._queue.limit.latency
+        return max(self._settings.timeouts.silence, usual)
+
+    def _suspect(self, connection: Connection, pool: Pool, idempotent: bool) -> None:
+        if not connection.first_byte and not connection.closed:
+            probe = self._probe(connection, pool, idempotent)
+            asyncio.get_running_loop().create_task(probe)
+
+    async def _probe(
+        self, connection: Connection, pool: Pool, idempotent: bool
+    ) -> None:
+        """Replace connections that are silent while a new one is answered.
+
+        Something between the two ends has forgotten the connection: what is sent on
+        it vanishes, and so would whatever is sent on others as old. Only a reused
+        connection can be of that kind; on a new one the silence is the backend
+        server's own, which the deadline bounds. A call that must not run twice goes
+        on waiting: its answer may yet come, and nothing would be won by giving up.
+        """
+        answered = await pool.probe()
+        if not answered or connection.first_byte or connection.closed:
+            return
+        if not connection.reused:
+            return
+        closed = pool.close_idle()
+        self._metrics.silent_connections.inc()
+        self._journal.emit(BACKEND_SILENT, address=pool.address, idle_closed=closed)
+        if idempotent:
+            connection.close()
+
+    def _note(self, response: Response, started: float) -> None:
+        now = time.monotonic()
+        in_flight = self._queue.in_flight
+        self._queue.limit.note_served(now - started, in_flight, now)
+
+    def _finish(
+        self, connection: Connection | None, pool: Pool, handle: bytes
+    ) -> None:
+        if connection is not None:
+            pool.release(connection)
+        self._handles.withdraw(handle)
+        self._in_flight.__exit__()
+
+    def _build_timeout(self, connection: Connection | None) -> Refusal:
+        detail = "no whole answer before the deadline"
+        if connection is None:
+            return not_run(Reason.DEADLINE_EXCEEDED, "no connection was free in time")
+        return Refusal(Reason.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN, detail)
+
+    def _connect(self, announced: Announcement) -> None:
+        if self._pool is not None:
+            self._pool.close_idle()
+        self._pool = Pool(
+            announced.address,
+            announced.connections or self._settings.limits.connections,
+            self._settings.timeouts.connect,
+            self._settings.limits.body_buffer,
+        )
+        self._queue.replace_limit(self._build_limit(announced))
+
+    def _build_limit(self, announced: Announcement) -> ConcurrencyLimit:
+        return ConcurrencyLimit(self._settings.limits.slots, announced.slots)
+
+    def to_dict(self) -> dict[str, Any]:
+        """Return its state for the operator address."""
+        announced = self._announcement
+        return {
+            "service": announced.service if announced else "",
+            "address": announced.address if announced else "",
+            "serving": self.serving,
+            "in_flight": self._queue.in_flight,
+            "limit": self._queue.limit.value,
+            "queued": self._queue.size,
+            "latency": round(self._queue.limit.latency, 6),
+            "connections": self._pool.open if self._pool else 0,
+        }
+
+
+def _refuse_draining() -> Refusal:
+    return not_run(Reason.DRAINING, "takes no new calls", retry_after=1.0)
+
+
--- /dev/null
+++ b/primroseglade/calls/connections.py
@@ -0,0 +1,451 @@
+"""Kept-alive HTTP/1.1 connections to one address, over httptools' parser.
+
+This is the project's own because of what it must tell apart: whether any byte of a
+call left, whether a first byte came back, and whether an answer is whole. Client
+libraries fold these into one error, and some repeat a request by themselves.
+"""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+
+import httptools
+
+from ..addresses import parse_address
+from ..verdicts import may_have_run, not_run, Reason, Refusal, Verdict
+from .call import Body, Context
+from .headers import Headers
+
+HIGH_WATER_BYTES = 256 * 1024
+IDLE_SECONDS = 20.0
+PROBE_SECONDS = 1.0
+PROBE = b"OPTIONS * HTTP/1.1\r\nhost: probe\r\ncontent-length: 0\r\n\r\n"
+# A peer that vanished without closing, or a link that lost track of the connection:
+# the kernel finds the first kind within these seconds.
+KEEP_ALIVE_IDLE_SECONDS = 2
+KEEP_ALIVE_PROBES = 2
+UNACKNOWLEDGED_MS = 4000
+
+
+class Response:
+    """The head of an answer, and its body as far as it has come."""
+
+    __slots__ = ("complete", "headers", "length", "status")
+
+    def __init__(self, status: int, headers: Headers, length: int | None):
+        self.status = status
+        self.headers = headers
+        self.length = length
+        self.complete = False
+
+
+class Connection(asyncio.Protocol):
+    """One connection, one request at a time.
+
+    Args:
+        hold_bytes: Bodies up to this size are waited for whole.
+    """
+
+    def __init__(self, hold_bytes: int):
+        self._hold_bytes = hold_bytes
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._headers: Headers = []
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._response: Response | None = None
+        self._ready: asyncio.Future[None] | None = None
+        self._more: asyncio.Event | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._head_only = False
+        self._reusable = True
+        self._error: Refusal | None = None
+        self.first_byte = False
+        self.idle_since = 0.0
+
+    @property
+    def reused(self) -> bool:
+        """Whether it has carried a request before the present one."""
+        return bool(self.idle_since)
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing can be sent on it any more."""
+        return self._transport is None or self._transport.is_closing()
+
+    @property
+    def reusable(self) -> bool:
+        """Whether it may carry another request."""
+        done = self._response is None or self._response.complete
+        return self._reusable and done and not self.closed
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the options that find a dead peer."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        for level, option, value in (
+            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+        ):
+            sock.setsockopt(level, option, value)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail what waits for an answer."""
+        self._transport = None
+        self._writable.set()
+        if self._response is not None and self._response.complete:
+            return
+        self._fail(may_have_run(Reason.CONNECTION_LOST, "the connection was lost"))
+
+    def pause_writing(self) -> None:
+        """Hold back a body that the other end does not read."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with the body."""
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        if self._parser is None:
+            # Bytes that no request asked for: whatever they are, the next answer on
+            # this connection could not be told from them.
+            self.close()
+            return
+        self.first_byte = True
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._break_off("an answer that switches protocols")
+        except httptools.HttpParserError as error:
+            self._break_off(f"not an HTTP/1.1 answer: {error}")
+
+    def on_message_begin(self) -> None:
+        """Parser callback."""
+        if self._parser is None:
+            self._reusable = False
+        self._headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser callback."""
+        self._headers.append((name.lower(), value.rstrip(b" \t")))
+
+    def on_headers_complete(self) -> None:
+        """Parser callback."""
+        if self._parser is None:
+            # A second answer to one request; the connection is closed for it.
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        length: int | None = None
+        chunked = False
+        for name, value in self._headers:
+            if name == b"content-length":
+                length = int(value)
+            elif name == b"transfer-encoding":
+                chunked = True
+        self._response = Response(status, self._headers, length)
+        if not self._parser.should_keep_alive():
+            self._reusable = False
+        if self._head_only:
+            # The parser waits for a body that a HEAD's answer does not have.
+            self._reusable = False
+            self._complete()
+        elif length is None and not chunked and status not in (204, 304):
+            # Its end would be the connection's end, which a lost connection shows
+            # just the same: whether the answer is whole could not be known.
+            self._break_off("an answer without a length")
+        elif length is not None and length > self._hold_bytes:
+            self._wake()
+
+    def on_body(self, body: bytes) -> None:
+        """Parser callback."""
+        if self._response is None:
+            return
+        self._chunks.append(body)
+        self._size += len(body)
+        if self._size > self._hold_bytes:
+            self._wake()
+        if self._size > HIGH_WATER_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+        if self._more is not None:
+            self._more.set()
+
+    def on_message_complete(self) -> None:
+        """Parser callback."""
+        if self._response is not None and not self._response.complete:
+            self._complete()
+
+    async def exchange(self, head: bytes, body: Body, head_only: bool) -> Response:
+        """Send a request and wait for its answer, whole or larger than is held.
+
+        Raises:
+            Refusal: With the verdict that the bytes sent and received allow.
+        """
+        self._begin(head_only)
+        assert self._ready is not None and self._transport is not None
+        try:
+            if body.held is not None:
+                self._transport.write(head + body.held)
+            else:
+                await self._send_stream(head, body)
+            await self._ready
+        except BaseException:
+            # Cut off in the middle, by a deadline or by a caller that went away:
+            # what the other end still reads or sends would mix with the next call.
+            self._reusable = False
+            raise
+        assert self._response is not None
+        return self._response
+
+    def take_held(self) -> bytes:
+        """Return the body that has come so far."""
+        held = self._chunks[0] if len(self._chunks) == 1 else b"".join(self._chunks)
+        self._chunks = []
+        self._size = 0
+        return held
+
+    async def iterate_body(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        Raises:
+            Refusal: It broke off.
+        """
+        assert self._response is not None
+        self._more = asyncio.Event()
+        while True:
+            if self._chunks:
+                yield self.take_held()
+                if self._transport is not None:
+                    self._transport.resume_reading()
+                continue
+            if self._response.complete:
+                return
+            if self._error is not None:
+                raise self._error
+            self._more.clear()
+            await self._more.wait()
+
+    def close(self) -> None:
+        """Close it; the other end takes that as a cancellation."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _begin(self, head_only: bool) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._chunks = []
+        self._size = 0
+        self._response = None
+        self._more = None
+        self._error = None
+        self._head_only = head_only
+        self.first_byte = False
+        self._ready = asyncio.get_running_loop().create_future()
+        if self.closed:
+            raise not_run(Reason.CONNECTION_LOST, "the connection was closed before")
+
+    async def _send_stream(self, head: bytes, body: Body) -> None:
+        assert body.stream is not None and self._transport is not None
+        body.started = True
+        self._transport.write(head)
+        async for chunk in body.stream:
+            if self.closed or (self._ready is not None and self._ready.done()):
+                # Answered, or lost, before the whole body was sent.
+                self._reusable = False
+                return
+            if not chunk:
+                continue
+            if body.length is None:
+                chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+            self._transport.write(chunk)
+            await self._writable.wait()
+        if body.length is None and not self.closed:
+            self._transport.write(b"0\r\n\r\n")
+
+    def _complete(self) -> None:
+        assert self._response is not None
+        self._response.complete = True
+        self._parser = None if self._reusable else self._parser
+        self._wake()
+        if self._more is not None:
+            self._more.set()
+
+    def _break_off(self, detail: str) -> None:
+        self._fail(may_have_run(Reason.ANSWER_BROKEN, detail))
+        self.close()
+
+    def _fail(self, error: Refusal) -> None:
+        self._error = error
+        self._reusable = False
+        if self._ready is not None and not self._ready.done():
+            self._ready.set_exception(error)
+            # A request that was given up has nobody left to see the error.
+            self._ready.exception()
+        if self._more is not None:
+            self._more.set()
+
+    def _wake(self) -> None:
+        if self._ready is not None and not self._ready.done():
+            self._ready.set_result(None)
+
+
+class Pool:
+    """Connections to one address.
+
+    Args:
+        address: ``IP:PORT``.
+        limit: Open connections at the most.
+        connect_timeout: Seconds to open one.
+        hold_bytes: Answers up to this size are waited for whole.
+    """
+
+    def __init__(
+        self, address: str, limit: int, connect_timeout: float, hold_bytes: int
+    ):
+        self._address = address
+        self._host, self._port = parse_address(address)
+        self._limit = limit
+        self._connect_timeout = connect_timeout
+        self._hold_bytes = hold_bytes
+        self._idle: list[Connection] = []
+        self._open = 0
+        self._freed = asyncio.Condition()
+
+    @property
+    def address(self) -> str:
+        """Where the connections lead."""
+        return self._address
+
+    @property
+    def open(self) -> int:
+        """How many connections there are."""
+        return self._open
+
+    async def acquire(self) -> Connection:
+        """Return a connection that carries no request.
+
+        Raises:
+            Refusal: ``not run``: none could be opened.
+        """
+        connection = self._pop_idle()
+        if connection is not None:
+            return connection
+        if self._open >= self._limit:
+            async with self._freed:
+                await self._freed.wait_for(
+                    lambda: self._idle or self._open < self._limit
+                )
+            connection = self._pop_idle()
+            if connection is not None:
+                return connection
+        self._open += 1
+        try:
+            return await self._dial()
+        except BaseException:
+            self._open -= 1
+            raise
+
+    def release(self, connection: Connection) -> None:
+        """Give a connection back; it is kept where it can carry another request."""
+        if connection.reusable:
+            connection.idle_since = asyncio.get_running_loop().time()
+            self._idle.append(connection)
+        else:
+            self._discard(connection)
+        if self._open >= self._limit:
+            asyncio.get_running_loop().create_task(self._notify())
+
+    def close_idle(self) -> int:
+        """Close the connections that carry nothing and return how many there were."""
+        count = len(self._idle)
+        while self._idle:
+            self._discard(self._idle.pop())
+        return count
+
+    async def probe(self) -> bool:
+        """Whether the address answers on a new connection, within a second."""
+        try:
+            async with asyncio.timeout(PROBE_SECONDS):
+                reader, writer = await asyncio.open_connection(self._host, self._port)
+                try:
+                    writer.write(PROBE)
+                    return bool(await reader.read(1))
+                finally:
+                    writer.transport.abort()
+        except (OSError, asyncio.TimeoutError):
+            return False
+
+    def _pop_idle(self) -> Connection | None:
+        oldest = asyncio.get_running_loop().time() - IDLE_SECONDS
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable and connection.idle_since > oldest:
+                return connection
+            self._discard(connection)
+        return None
+
+    def _discard(self, connection: Connection) -> None:
+        connection.close()
+        self._open -= 1
+
+    async def _notify(self) -> None:
+        async with self._freed:
+            self._freed.notify()
+
+    async def _dial(self) -> Connection:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._connect_timeout):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(self._hold_bytes), self._host, self._port
+                )
+        except (OSError, asyncio.TimeoutError) as error:
+            reason = str(error) or "timed out"
+            detail = f"no connection to {self._address}: {reason}"
+            raise Refusal(
+                Reason.CONNECTION_LOST, Verdict.NOT_RUN, detail, retry_after=1.0
+            ) from error
+        return connection
+
+
+async def iterate_until(
+    connection: Connection, context: Context
+) -> AsyncIterator[bytes]:
+    """Yield a body as it comes, up to the call's deadline.
+
+    Raises:
+        Refusal: It broke off, or the deadline passed before its end.
+    """
+    body = connection.iterate_body()
+    while True:
+        try:
+            async with asyncio.timeout(context.remaining):
+                chunk = await anext(body, None)
+        except asyncio.TimeoutError as error:
+            detail = "the deadline passed in the middle of the answer"
+            raise may_have_run(Reason.DEADLINE_EXCEEDED, detail) from error
+        if chunk is None:
+            return
+        yield chunk
+
+
+def build_head(
+    method: str, target: bytes, host: str, headers: Headers, body: Body
+) -> bytes:
+    """Return the bytes of a request's head; headers were checked on the way in."""
+    lines = [b"%b %b HTTP/1.1" % (method.encode(), target), b"host: " + host.encode()]
+    lines += [b"%b: %b" % header for header in headers]
+    if body.length is not None:
+        if body.length or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            lines.append(b"content-length: %d" % body.length)
+    else:
+        lines.append(b"transfer-encoding: chunked")
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines)
--- /dev/null
+++ b/primroseglade/calls/handles.py
@@ -0,0 +1,76 @@
+"""Handles: what a backend server shows instead of a key when it calls onward."""
+
+import secrets
+
+from ..observe.traces import generate_span_id, TraceParent
+from ..verdicts import not_run, Reason, Refusal
+from .call import Context
+
+HANDLE_BYTES = 16
+
+
+class Handles:
+    """The calls at work on the backend server beside this node, by handle."""
+
+    def __init__(self) -> None:
+        self._contexts: dict[bytes, Context] = {}
+
+    def __len__(self) -> int:
+        return len(self._contexts)
+
+    def issue(self, context: Context) -> bytes:
+        """Return a new handle for a call that goes to the backend server."""
+        handle = secrets.token_urlsafe(HANDLE_BYTES).encode()
+        self._contexts[handle] = context
+        return handle
+
+    def withdraw(self, handle: bytes) -> None:
+        """End a handle, with its call."""
+        self._contexts.pop(handle, None)
+
+    def find(self, handle: bytes) -> Context:
+        """Return the call that a handle stands for.
+
+        Raises:
+            Refusal: ``not run``: there is no such call in flight here.
+        """
+        context = self._contexts.get(handle)
+        if context is None:
+            raise not_run(Reason.HANDLE_UNKNOWN, "no call in flight has this handle")
+        return context
+
+
+def descend(parent: Context, idempotent: bool, importance: object) -> Context:
+    """Return the context of a call nested in another.
+
+    The nested call takes half of the parent's retry tokens, rounded up, out of the
+    parent's: the sum over the whole tree stays what the root call began with.
+    """
+    tokens = (parent.retry_tokens + 1) // 2
+    parent.retry_tokens -= tokens
+    span = generate_span_id()
+    return Context(
+        call=span,
+        trace=TraceParent(parent.trace.trace, parent.call, parent.trace.sampled),
+        workspace=parent.workspace,
+        key=parent.key,
+        # A payout's own steps matter as much as the payout.
+        importance=max(parent.importance, importance),
+        deadline=parent.deadline,
+        depth=parent.depth + 1,
+        retry_tokens=tokens,
+        idempotent=idempotent,
+    )
+
+
+def give_back(parent: Context, child: Context) -> None:
+    """Return a nested call's unused retry tokens to its parent."""
+    parent.retry_tokens += child.retry_tokens
+    child.retry_tokens = 0
+
+
+def refuse_withdrawn(holds_key: object, context: Context) -> Refusal | None:
+    """Return the refusal of a call whose key was withdrawn meanwhile, else None."""
+    if holds_key(context.workspace, context.key):
+        return None
+    return not_run(Reason.KEY_WITHDRAWN, "the key was withdrawn")
--- /dev/null
+++ b/primroseglade/calls/relay.py
@@ -0,0 +1,149 @@
+"""Sends calls to the node beside another backend server."""
+
+import asyncio
+import json
+
+from ..answers import parse_refusal
+from ..fleet.members import Member
+from ..settings.node import NodeSettings
+from ..verdicts import may_have_run, not_run, Reason, Refusal
+from .call import Answer, Call
+from .connections import build_head, Connection, iterate_until, Pool, Response
+from .context import ContextSeal
+from .headers import (
+    CONTEXT,
+    find_header,
+    keep_answer_headers,
+    LOAD,
+    RETRY_TOKENS,
+    TRACEPARENT,
+)
+
+POOLS_KEPT = 256
+
+
+class Relay:
+    """Connections to other nodes' relay listeners.
+
+    Args:
+        settings: Limits and timeouts.
+        seal: Authenticates contexts.
+    """
+
+    def __init__(self, settings: NodeSettings, seal: ContextSeal):
+        self._settings = settings
+        self._seal = seal
+        self._pools: dict[str, Pool] = {}
+
+    async def send(self, call: Call, member: Member) -> tuple[Answer, bytes]:
+        """Send a call to a member's node.
+
+        Half of the call's retry tokens go along, and what is unused comes back with
+        the answer; where no answer comes, they are lost, so that none can be spent
+        twice. The other half stays for an attempt at another member.
+
+        Returns:
+            The answer, and the load that came with it.
+
+        Raises:
+            Refusal: By that node, or for want of an answer.
+        """
+        pool = self._get_pool(member.relay)
+        context = call.context
+        sent = False
+        connection = None
+        streams = False
+        try:
+            async with asyncio.timeout(context.remaining):
+                connection = await pool.acquire()
+                carried = context.retry_tokens // 2
+                headers = [
+                    *call.headers,
+                    (CONTEXT, self._seal.write(context, member.instance, carried)),
+                    (TRACEPARENT, context.traceparent),
+                ]
+                target = b"/" + call.service.encode() + call.target
+                head = build_head(call.method, target, pool.address, headers, call.body)
+                context.retry_tokens -= carried
+                sent = True
+                response = await connection.exchange(
+                    head, call.body, call.method == "HEAD"
+                )
+            context.retry_tokens += _read_tokens(response, carried)
+            refusal = self._read_refusal(response, connection)
+            if refusal is not None:
+                raise refusal
+            load = find_header(response.headers, LOAD)
+            headers = keep_answer_headers(response.headers)
+            if response.complete:
+                return Answer(response.status, headers, connection.take_held()), load
+            streams = True
+            stream = iterate_until(connection, context)
+            kept = connection
+            answer = Answer(
+                response.status,
+                headers,
+                None,
+                response.length,
+                stream,
+                lambda: pool.release(kept),
+            )
+            return answer, load
+        except asyncio.TimeoutError as error:
+            detail = f"no answer of {member.instance} before the deadline"
+            if not sent:
+                raise not_run(Reason.DEADLINE_EXCEEDED, detail) from error
+            raise may_have_run(Reason.DEADLINE_EXCEEDED, detail) from error
+        finally:
+            if connection is not None and not streams:
+                pool.release(connection)
+
+    def forget(self, address: str) -> None:
+        """Close the connections to a node that is gone."""
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            pool.close_idle()
+
+    def close(self) -> None:
+        """Close all connections that carry nothing."""
+        for address in list(self._pools):
+            self.forget(address)
+
+    def _read_refusal(
+        self, response: Response, connection: Connection
+    ) -> Refusal | None:
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in response.headers
+        }
+        if "primroseglade-reason" not in headers:
+            return None
+        detail = ""
+        if response.complete:
+            try:
+                detail = str(json.loads(connection.take_held()).get("detail", ""))
+            except (ValueError, AttributeError):
+                detail = ""
+        refusal = parse_refusal(headers, detail)
+        return refusal or may_have_run(Reason.ANSWER_BROKEN, "an unknown refusal")
+
+    def _get_pool(self, address: str) -> Pool:
+        pool = self._pools.pop(address, None)
+        if pool is None:
+            pool = Pool(
+                address,
+                self._settings.limits.peer_connections,
+                self._settings.timeouts.connect,
+                self._settings.limits.body_buffer,
+            )
+        # The most recently used stands last.
+        self._pools[address] = pool
+        while len(self._pools) > POOLS_KEPT:
+            self.forget(next(iter(self._pools)))
+        return pool
+
+
+def _read_tokens(response: Response, carried: int) -> int:
+    """Return the retry tokens that came back: never more than went out."""
+    value = find_header(response.headers, RETRY_TOKENS)
+    return min(int(value), carried) if value.isdigit() else 0
--- /dev/null
+++ b/primroseglade/document/document.py
@@ -0,0 +1,308 @@
+"""The document in force, indexed for the questions that a call asks."""
+
+import hashlib
+import ipaddress
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from ..addresses import parse_address
+from ..limits.importance import Importance
+
+
+class Section:
+    """A section as it stands, with the record that put it there.
+
+    Args:
+        value: Its value; None marks a section that was taken out, whose version
+            still guards against an old edit that is appended again.
+        version: Offset of that record.
+        author: Who wrote it.
+        record: The record's id.
+    """
+
+    __slots__ = ("author", "record", "value", "version")
+
+    def __init__(
+        self, value: dict[str, Any] | None, version: int, author: str, record: str
+    ):
+        self.value = value
+        self.version = version
+        self.author = author
+        self.record = record
+
+    def to_stored(self) -> list[Any]:
+        """Return the form that snapshots hold."""
+        return [self.value, self.version, self.author, self.record]
+
+
+class Key:
+    """A key that acts for a workspace; the key itself is known by digest only."""
+
+    __slots__ = ("batch", "id", "workspace")
+
+    def __init__(self, id: str, workspace: str, batch: str):  # noqa: A002
+        self.id = id
+        self.workspace = workspace
+        self.batch = batch
+
+
+class Rate:
+    """Root calls a second, and calls beyond that in any window."""
+
+    __slots__ = ("burst", "per_second")
+
+    def __init__(self, per_second: float, burst: float):
+        self.per_second = per_second
+        self.burst = burst
+
+
+class TrustedNetwork:
+    """Backend servers of one network and batch."""
+
+    __slots__ = ("batch", "network")
+
+    def __init__(self, network: str, batch: str):
+        self.network = ipaddress.ip_network(network)
+        self.batch = batch
+
+
+class Route:
+    """A method and path prefix of some importance."""
+
+    __slots__ = ("importance", "method", "path")
+
+    def __init__(self, path: str, method: str, importance: Importance):
+        self.path = path
+        self.method = method
+        self.importance = importance
+
+    def fits(self, method: str, path: str) -> bool:
+        """Whether a call is on this route."""
+        return path.startswith(self.path) and self.method in ("", method)
+
+
+class Service:
+    """A service: trusted backend servers, timeout (s) and idempotent paths."""
+
+    __slots__ = ("idempotent", "name", "timeout", "trusted")
+
+    def __init__(self, name: str, value: dict[str, Any]):
+        self.name = name
+        self.timeout: float | None = value.get("timeout")
+        self.idempotent = tuple(value.get("idempotent", ()))
+        self.trusted = [
+            TrustedNetwork(item["network"], item.get("batch", ""))
+            for item in value["backend_servers"]
+        ]
+
+
+class RoutesOfService:
+    """The importance of a service's routes."""
+
+    __slots__ = ("default", "routes")
+
+    def __init__(self, value: dict[str, Any]):
+        self.default = Importance.from_name(value["default"])
+        self.routes = [
+            Route(
+                item["path"],
+                item.get("method", ""),
+                Importance.from_name(item["importance"]),
+            )
+            for item in value.get("routes", ())
+        ]
+
+
+class Recall:
+    """Everything that one recall withdraws."""
+
+    __slots__ = (
+        "backend_server_batches",
+        "backend_servers",
+        "key_batches",
+        "keys",
+        "workspaces",
+    )
+
+    def __init__(self, value: dict[str, Any]):
+        for name in self.__slots__:
+            setattr(self, name, frozenset(value.get(name, ())))
+
+
+def digest_key(key: str) -> str:
+    """Return the form in which the document holds a key.
+
+    >>> digest_key("x")[:14]
+    'sha256:2d71164'
+    """
+    return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
+
+
+class Document:
+    """Sections and what follows from them."""
+
+    def __init__(self) -> None:
+        self._sections: dict[str, Section] = {}
+        self._keys: dict[str, Key] = {}
+        self._keys_by_id: dict[str, Key] = {}
+        self._services: dict[str, Service] = {}
+        self._routes: dict[str, RoutesOfService] = {}
+        self._rates: dict[str, Rate] = {}
+        self._shares: dict[str, float] = {}
+        self._recalls: dict[str, Recall] = {}
+        self._stale_after: dict[str, float] = {}
+
+    @property
+    def sections(self) -> dict[str, Section]:
+        """Every section that stands or has stood, by name."""
+        return self._sections
+
+    @property
+    def rates(self) -> dict[str, Rate]:
+        """Rates by workspace."""
+        return self._rates
+
+    @property
+    def shares(self) -> dict[str, float]:
+        """Shares by availability zone."""
+        return self._shares
+
+    @property
+    def services(self) -> dict[str, Service]:
+        """Services by name."""
+        return self._services
+
+    def put(self, name: str, section: Section) -> None:
+        """Put a checked section and bring the indexes up to date."""
+        kind, _, own_name = name.partition("/")
+        previous = self._sections.get(name)
+        self._sections[name] = section
+        _indexers[kind](self, own_name, previous and previous.value, section.value)
+
+    def find_key_id(self, key: str) -> Key | None:
+        """Return the key with this id."""
+        return self._keys_by_id.get(key)
+
+    def find_key(self, digest: str) -> Key | None:
+        """Return the key with this digest, withdrawn or not."""
+        return self._keys.get(digest)
+
+    def is_withdrawn(self, workspace: str, key: str, batch: str = "") -> bool:
+        """Whether a recall names the workspace, the key's id or its batch."""
+        return any(
+            workspace in recall.workspaces
+            or key in recall.keys
+            or (batch and batch in recall.key_batches)
+            for recall in self._recalls.values()
+        )
+
+    def holds_key(self, workspace: str, key: str) -> bool:
+        """Whether the key still stands and no recall names it.
+
+        Asked for calls that are already in flight, queued or relayed, which carry
+        the key's id and no longer its digest.
+        """
+        found = self._keys_by_id.get(key)
+        if found is None or found.workspace != workspace:
+            return False
+        return not self.is_withdrawn(workspace, key, found.batch)
+
+    def get_importance(self, service: str, method: str, path: str) -> Importance:
+        """Return the importance of a call; ``path`` is within the service."""
+        routes = self._routes.get(service)
+        if routes is None:
+            return Importance.NORMAL
+        for route in routes.routes:
+            if route.fits(method, path):
+                return route.importance
+        return routes.default
+
+    def get_stale_after(self, workspace: str) -> float | None:
+        """Return the age (s) of configuration at which the workspace is refused."""
+        return self._stale_after.get(workspace)
+
+    def trusts(self, service: str, address: str) -> bool:
+        """Whether a backend server at ``IP:PORT`` may serve the service."""
+        known = self._services.get(service)
+        if known is None:
+            return False
+        host = ipaddress.ip_address(parse_address(address)[0])
+        batches = [item.batch for item in known.trusted if host in item.network]
+        if not batches:
+            return False
+        return not any(
+            address in recall.backend_servers
+            or all(batch in recall.backend_server_batches for batch in batches)
+            for recall in self._recalls.values()
+        )
+
+    def iterate_standing(self) -> Iterator[tuple[str, Section]]:
+        """Yield the sections that were not taken out."""
+        for name, section in self._sections.items():
+            if section.value is not None:
+                yield name, section
+
+
+Value = dict[str, Any] | None
+Indexer = Callable[[Document, str, Value, Value], None]
+_indexers: dict[str, Indexer] = {}
+
+
+def indexes(kind: str) -> Callable[[Indexer], Indexer]:
+    """Register what keeps a kind's indexes: called with name, old and new value."""
+
+    def register(indexer: Indexer) -> Indexer:
+        _indexers[kind] = indexer
+        return indexer
+
+    return register
+
+
+@indexes("workspaces")
+def _index_workspace(document: Document, name: str, old: Value, new: Value) -> None:
+    for item in (old or {}).get("keys", ()):
+        # A key that the same edit moved may stand under its new workspace already.
+        for index, mark in (
+            (document._keys, item["digest"]),
+            (document._keys_by_id, item["id"]),
+        ):
+            if mark in index and index[mark].workspace == name:
+                del index[mark]
+    for item in (new or {}).get("keys", ()):
+        key = Key(item["id"], name, item.get("batch", ""))
+        document._keys[item["digest"]] = key
+        document._keys_by_id[key.id] = key
+    _replace(document._stale_after, name, (new or {}).get("stale_after"))
+
+
+@indexes("rates")
+def _index_rate(document: Document, name: str, old: Value, new: Value) -> None:
+    rate = new and Rate(new["per_second"], new["burst"])
+    _replace(document._rates, name, rate)
+
+
+@indexes("zones")
+def _index_zone(document: Document, name: str, old: Value, new: Value) -> None:
+    _replace(document._shares, name, new and new["share"])
+
+
+@indexes("services")
+def _index_service(document: Document, name: str, old: Value, new: Value) -> None:
+    _replace(document._services, name, new and Service(name, new))
+
+
+@indexes("importance")
+def _index_importance(document: Document, name: str, old: Value, new: Value) -> None:
+    _replace(document._routes, name, new and RoutesOfService(new))
+
+
+@indexes("recalls")
+def _index_recall(document: Document, name: str, old: Value, new: Value) -> None:
+    _replace(document._recalls, name, new and Recall(new))
+
+
+def _replace(index: dict[str, Any], name: str, value: Any) -> None:
+    if value is None:
+        index.pop(name, None)
+    else:
+        index[name] = value
--- /dev/null
+++ b/primroseglade/document/schema.py
@@ -0,0 +1,213 @@
+"""What each kind of section of the operators' document must look like."""
+
+from typing import Any
+
+from ..errors import InputError
+from ..settings.node import ADDRESS, NAME
+from ..settings.reader import build_validator, check
+
+IMPORTANCE_NAMES = ("critical", "high", "normal", "low")
+SECTION_NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+DIGEST_PATTERN = "^sha256:[0-9a-f]{64}$"
+
+_NAMES = {"type": "array", "items": NAME, "default": []}
+_IMPORTANCE = {"enum": list(IMPORTANCE_NAMES)}
+
+
+def _object(description: str, required: list[str], **properties: Any) -> dict[str, Any]:
+    return {
+        "type": "object",
+        "description": description,
+        "additionalProperties": False,
+        "required": required,
+        "properties": properties,
+    }
+
+
+SCHEMAS: dict[str, dict[str, Any]] = {
+    "zones": _object(
+        "An availability zone and its share of every rate and burst.",
+        ["share"],
+        share={
+            "type": "number",
+            "minimum": 0,
+            "maximum": 1,
+            "unit": "1",
+            "description": "Share of each workspace's rate that accrues here; the "
+            "shares of all zones add up to 1 at the most.",
+        },
+        region=NAME | {"description": "Region that the zone is in."},
+    ),
+    "workspaces": _object(
+        "A workspace and the digests of its keys.",
+        ["keys"],
+        keys={
+            "type": "array",
+            "description": "Keys that act for the workspace.",
+            "items": _object(
+                "One key.",
+                ["id", "digest"],
+                id=NAME | {"description": "Name of the key, unique in the document."},
+                digest={
+                    "type": "string",
+                    "pattern": DIGEST_PATTERN,
+                    "description": "sha256: and the key's SHA-256 in hex.",
+                },
+                batch=NAME | {"description": "Batch that the key was issued in."},
+            ),
+        },
+        stale_after={
+            "type": "number",
+            "exclusiveMinimum": 0,
+            "unit": "s",
+            "description": "Refuse the workspace's calls where the configuration is "
+            "older than this; absent: serve with what is known.",
+        },
+    ),
+    "rates": _object(
+        "What a workspace may ask for, summed over the whole fleet.",
+        ["per_second", "burst"],
+        per_second={
+            "type": "number",
+            "exclusiveMinimum": 0,
+            "unit": "calls/s",
+            "description": "Root calls a second.",
+        },
+        burst={
+            "type": "number",
+            "minimum": 1,
+            "unit": "calls",
+            "description": "Root calls beyond the rate in any window.",
+        },
+    ),
+    "services": _object(
+        "A service, and which backend servers are trusted to serve it.",
+        ["backend_servers"],
+        backend_servers={
+            "type": "array",
+            "description": "Trusted backend servers.",
+            "items": _object(
+                "Backend servers of one network.",
+                ["network"],
+                network={
+                    "type": "string",
+                    "format": "network",
+                    "description": "IP network in CIDR form.",
+                },
+                batch=NAME | {"description": "Batch that they were built in."},
+            ),
+        },
+        timeout={
+            "type": "number",
+            "exclusiveMinimum": 0,
+            "unit": "s",
+            "description": "Deadline of a root call that brings none.",
+        },
+        idempotent={
+            "type": "array",
+            "items": {"type": "string", "pattern": "^/"},
+            "description": "Path prefixes whose POST and PATCH calls are idempotent.",
+        },
+    ),
+    "importance": _object(
+        "How important the calls of the service of this name are.",
+        ["default"],
+        default=_IMPORTANCE | {"description": "Importance of every other route."},
+        routes={
+            "type": "array",
+            "description": "Routes of another importance; the first that fits counts.",
+            "items": _object(
+                "One route.",
+                ["path", "importance"],
+                path={
+                    "type": "string",
+                    "pattern": "^/",
+                    "description": "Prefix of the path within the service.",
+                },
+                method={"type": "string", "description": "Only this method."},
+                importance=_IMPORTANCE | {"description": "Importance of the route."},
+            ),
+        },
+    ),
+    "recalls": _object(
+        "A batch withdrawn at once; it counts as long as the section stands.",
+        [],
+        keys=_NAMES | {"description": "Ids of withdrawn keys."},
+        key_batches=_NAMES | {"description": "Batches of withdrawn keys."},
+        workspaces=_NAMES | {"description": "Withdrawn workspaces."},
+        backend_servers={
+            "type": "array",
+            "items": ADDRESS,
+            "default": [],
+            "description": "Withdrawn backend servers, IP:PORT.",
+        },
+        backend_server_batches=_NAMES
+        | {"description": "Batches of withdrawn backend servers."},
+        note={"type": "string", "maxLength": 500, "description": "Why, for people."},
+    ),
+}
+
+KINDS = tuple(SCHEMAS)
+
+_validators = {kind: build_validator(schema) for kind, schema in SCHEMAS.items()}
+_name_validator = build_validator(
+    {
+        "type": "string",
+        "pattern": SECTION_NAME_PATTERN,
+        "description": "lower-case letters, digits, dots, dashes",
+    }
+)
+_document_validator = build_validator(
+    {
+        "type": "object",
+        "additionalProperties": False,
+        "properties": {kind: {"type": "object"} for kind in KINDS},
+    }
+)
+
+
+def split_section(section: str) -> tuple[str, str]:
+    """Split a section's name into its kind and its own name.
+
+    Raises:
+        InputError: There is no such kind, or the name has characters it may not have.
+
+    >>> split_section("rates/north")
+    ('rates', 'north')
+    """
+    kind, _, name = section.partition("/")
+    if kind not in SCHEMAS:
+        expected = "one of " + ", ".join(KINDS)
+        raise InputError(section, "", f"unknown kind {kind!r}", expected)
+    check(name, _name_validator, section)
+    return kind, name
+
+
+def check_section(section: str, value: Any) -> None:
+    """Check one section's value on its own.
+
+    Raises:
+        InputError: With the path within the section.
+    """
+    kind, _ = split_section(section)
+    check(value, _validators[kind], section)
+
+
+def flatten_document(document: Any, source: str) -> dict[str, Any]:
+    """Check a document file and return its sections by name.
+
+    Args:
+        document: Parsed JSON: kind, then name, then value.
+        source: Its name in errors.
+
+    Raises:
+        InputError: A section is unknown or does not fit.
+    """
+    check(document, _document_validator, source)
+    sections = {}
+    for kind, named in document.items():
+        for name, value in named.items():
+            section = f"{kind}/{name}"
+            check_section(section, value)
+            sections[section] = value
+    return sections
--- /dev/null
+++ b/primroseglade/exits.py
@@ -0,0 +1,16 @@
+"""Exit statuses of the command line."""
+
+import enum
+
+
+class ExitStatus(enum.IntEnum):
+    """What the process's exit code says."""
+
+    SUCCESS = 0
+    BROKEN_PROMISE = 1
+    USAGE = 2
+    BAD_INPUT = 3
+    REFUSED = 4
+    UNREACHABLE = 5
+    FAILURE = 70
+    INTERRUPTED = 130
--- /dev/null
+++ b/primroseglade/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What the nodes know of one another, and how they tell it."""
--- /dev/null
+++ b/primroseglade/fleet/gossip.py
@@ -0,0 +1,293 @@
+"""Exchanges news with a constant number of neighbours and finds dead members."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+from ..observe.events import (
+    Journal,
+    MEMBER_DEAD,
+    MEMBER_JOINED,
+    MEMBER_LEFT,
+    MEMBER_REFUTED,
+    MEMBER_SUSPECT,
+)
+from ..observe.metrics import Metrics
+from ..proto import control_pb2 as pb
+from ..supervisor import Supervisor
+from .control import ControlClient, ControlServer, PeerError
+from .hashing import rank
+from .members import Member, Members, read_member, State
+
+# Neighbours: the ring makes sure that every member of a zone is watched by some;
+# the random ones make news cross a large fleet in a few hops; the ones in other
+# zones carry it out.
+RING_NEIGHBOURS = 2
+RANDOM_NEIGHBOURS = 2
+OTHER_ZONE_NEIGHBOURS = 2
+UPDATES_A_MESSAGE = 40
+EXCHANGE_TIMEOUT_SECONDS = 1.0
+PROBE_TIMEOUT_SECONDS = 2.0
+# Others asked to reach a member before it is suspected: one bad link is no death.
+INDIRECT_PROBES = 2
+# News is held this long, so that one message carries what arrives together.
+GATHER_SECONDS = 0.01
+COMPARE_EVERY = 10
+
+OnOffset = Callable[[int, float, str], None]
+
+
+class Gossip:
+    """Keeps this instance's table of members in step with the others'.
+
+    Args:
+        members: The table.
+        client: Sends messages.
+        journal: Told of joins, deaths and departures.
+        metrics: Counts members by state.
+        period: Seconds between two exchanges with one neighbour.
+        suspicion: Seconds a member is suspect before it is dead.
+        get_offset: Returns the configuration's next offset and its age in seconds.
+        on_offset: Told a neighbour's offset, age and control address.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        client: ControlClient,
+        journal: Journal,
+        metrics: Metrics,
+        period: float,
+        suspicion: float,
+        get_offset: Callable[[], tuple[int, float]],
+        on_offset: OnOffset,
+    ):
+        self._members = members
+        self._client = client
+        self._journal = journal
+        self._metrics = metrics
+        self._period = period
+        self._suspicion = suspicion
+        self._get_offset = get_offset
+        self._on_offset = on_offset
+        self._supervisor = Supervisor("gossip", journal)
+        self._wakeups: dict[str, asyncio.Event] = {}
+        self._pick_again = asyncio.Event()
+        members.watch(self._tell)
+
+    def register(self, server: ControlServer) -> None:
+        """Answer the messages that gossip needs."""
+        server.register("Exchange", self._answer_exchange)
+        server.register("Probe", self._answer_probe)
+
+    async def run(self) -> None:
+        """Keep one task for each neighbour; choose anew when the table changes."""
+        try:
+            while True:
+                self._pick_again.clear()
+                await self._match_neighbours()
+                self._members.expire(self._suspicion)
+                self._count()
+                try:
+                    await asyncio.wait_for(self._pick_again.wait(), self._period)
+                    await asyncio.sleep(GATHER_SECONDS)
+                except asyncio.TimeoutError:
+                    pass
+        finally:
+            await self._supervisor.close()
+
+    async def introduce(self, addresses: list[str], most: int = 3) -> int:
+        """Ask nodes at these addresses for their tables.
+
+        Returns:
+            How many answered.
+        """
+        answered = 0
+        for address in addresses:
+            if address == self._members.own.control:
+                continue
+            try:
+                await self._exchange(address, compare=True)
+                answered += 1
+            except PeerError:
+                continue
+            if answered >= most:
+                break
+        return answered
+
+    def spread(self) -> None:
+        """Exchange with every neighbour now: there is news."""
+        for wakeup in self._wakeups.values():
+            wakeup.set()
+
+    async def say_goodbye(self, **changes: object) -> None:
+        """Tell the neighbours of a change of this instance before going on."""
+        self._members.change_own(**changes)
+        exchanges = [
+            self._exchange(member.control, receiver=member.instance)
+            for member in self._choose_neighbours()
+        ]
+        await asyncio.gather(*exchanges, return_exceptions=True)
+
+    def _choose_neighbours(self) -> list[Member]:
+        own = self._members.own
+        reachable = {
+            member.instance: member
+            for member in self._members.get_reachable()
+            if member.instance != own.instance
+        }
+        local = sorted(name for name, m in reachable.items() if m.zone == own.zone)
+        others = [name for name, m in reachable.items() if m.zone != own.zone]
+        after = [name for name in local if name > own.instance]
+        ring = (after + local)[:RING_NEIGHBOURS]
+        chosen = set(ring)
+        chosen.update(rank(own.instance, local, RANDOM_NEIGHBOURS))
+        chosen.update(rank(own.instance, others, OTHER_ZONE_NEIGHBOURS))
+        return [reachable[name] for name in sorted(chosen)]
+
+    async def _match_neighbours(self) -> None:
+        wanted = {member.instance: member for member in self._choose_neighbours()}
+        for name in self._supervisor.children:
+            if name not in wanted:
+                self._wakeups.pop(name, None)
+                await self._supervisor.end(name)
+        for name in wanted:
+            if name not in self._supervisor.children:
+                self._wakeups[name] = asyncio.Event()
+                self._supervisor.start(name, self._build_neighbour(name))
+
+    def _build_neighbour(self, name: str) -> Callable[[], Awaitable[None]]:
+        async def keep_exchanging() -> None:
+            wakeup = self._wakeups[name]
+            rounds = random.randrange(COMPARE_EVERY)
+            while True:
+                member = self._members.get(name)
+                if member is None or not member.reachable:
+                    return
+                rounds += 1
+                await self._try_neighbour(member, rounds % COMPARE_EVERY == 0)
+                pause = self._period * random.uniform(0.8, 1.2)
+                try:
+                    await asyncio.wait_for(wakeup.wait(), pause)
+                    await asyncio.sleep(GATHER_SECONDS)
+                except asyncio.TimeoutError:
+                    pass
+                wakeup.clear()
+
+        return keep_exchanging
+
+    async def _try_neighbour(self, member: Member, compare: bool) -> None:
+        try:
+            await self._exchange(member.control, compare, member.instance)
+        except PeerError:
+            if not await self._probe_through_others(member):
+                self._members.suspect(member.instance)
+                self.spread()
+
+    async def _exchange(
+        self, address: str, compare: bool = False, receiver: str = ""
+    ) -> None:
+        next_offset, age = self._get_offset()
+        request = pb.ExchangeRequest(
+            sender=self._members.own.to_proto(),
+            updates=self._take_updates(),
+            next_offset=next_offset,
+            configuration_age_ms=int(age * 1000),
+            buckets=self._members.hash_buckets() if compare else [],
+        )
+        sent_at = time.monotonic()
+        reply = await self._client.call(
+            address, "Exchange", request, EXCHANGE_TIMEOUT_SECONDS, receiver
+        )
+        self._merge([reply.sender, *reply.updates])
+        # The peer's knowledge is at least as old as the question.
+        age = reply.configuration_age_ms / 1000 + time.monotonic() - sent_at
+        self._on_offset(reply.next_offset, age, address)
+
+    async def _answer_exchange(
+        self, request: pb.ExchangeRequest, sender: str
+    ) -> pb.ExchangeReply:
+        self._merge([request.sender, *request.updates])
+        age = request.configuration_age_ms / 1000
+        self._on_offset(request.next_offset, age, request.sender.control)
+        if request.buckets:
+            differing = self._members.find_differing(request.buckets)
+            updates = [self._members.to_proto(member) for member in differing]
+        else:
+            updates = self._take_updates()
+        next_offset, age = self._get_offset()
+        return pb.ExchangeReply(
+            sender=self._members.own.to_proto(),
+            updates=updates,
+            next_offset=next_offset,
+            configuration_age_ms=int(age * 1000),
+        )
+
+    async def _answer_probe(self, request: pb.ProbeRequest, _: str) -> pb.ProbeReply:
+        try:
+            await self._exchange(request.control)
+        except PeerError:
+            return pb.ProbeReply(answered=False)
+        return pb.ProbeReply(answered=True)
+
+    async def _probe_through_others(self, member: Member) -> bool:
+        """Ask others to reach a member; a link may be bad while the member is well."""
+        others = [
+            other
+            for other in self._members.get_reachable()
+            if other.instance not in (member.instance, self._members.own.instance)
+        ]
+        chosen = random.sample(others, min(INDIRECT_PROBES, len(others)))
+        request = pb.ProbeRequest(control=member.control)
+        replies = await asyncio.gather(
+            *(
+                self._client.call(
+                    other.control, "Probe", request, PROBE_TIMEOUT_SECONDS
+                )
+                for other in chosen
+            ),
+            return_exceptions=True,
+        )
+        return any(
+            not isinstance(reply, BaseException) and reply.answered for reply in replies
+        )
+
+    def _take_updates(self) -> list[pb.Member]:
+        updates = self._members.take_updates(UPDATES_A_MESSAGE)
+        return [self._members.to_proto(member) for member in updates]
+
+    def _merge(self, messages: list[pb.Member]) -> None:
+        news = [
+            self._members.merge(read_member(message), message.state_age_ms / 1000)
+            for message in messages
+        ]
+        if any(news):
+            self.spread()
+
+    def _tell(self, member: Member, previous: Member | None) -> None:
+        if previous is None or previous.reachable != member.reachable:
+            self._pick_again.set()
+        if member.instance == self._members.own.instance:
+            if previous is not None and previous.sequence + 1 < member.sequence:
+                self._journal.emit(MEMBER_REFUTED)
+            self.spread()
+            return
+        before = previous.state if previous else None
+        if before is member.state:
+            return
+        event = {
+            State.ALIVE: MEMBER_JOINED if before is None else None,
+            State.SUSPECT: MEMBER_SUSPECT,
+            State.DEAD: MEMBER_DEAD,
+            State.LEFT: MEMBER_LEFT,
+        }[member.state]
+        if event is not None:
+            self._journal.emit(event, member=member.instance, of_zone=member.zone)
+
+    def _count(self) -> None:
+        counts = dict.fromkeys(State, 0)
+        for member in self._members:
+            counts[member.state] += 1
+        for state, count in counts.items():
+            self._metrics.members.labels(state.name.lower()).set(count)
--- /dev/null
+++ b/primroseglade/fleet/members.py
@@ -0,0 +1,330 @@
+"""The table of members, and the merge that makes any two tables agree."""
+
+import enum
+import math
+import time
+import zlib
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from ..proto import control_pb2 as pb
+
+# How long a dead or departed member is remembered, so that old news of it being
+# alive is known to be old, and so that a cut-off part of a zone keeps counting it.
+TOMBSTONE_SECONDS = 600.0
+BUCKETS = 32
+# Each news is sent this many times the logarithm of the fleet's size, as in SWIM.
+SENDS_FACTOR = 3
+
+
+class State(enum.IntEnum):
+    """States of a member, in the order in which they win over each other."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class Member:
+    """A node and the backend server beside it.
+
+    Args:
+        instance: Name, unique in the fleet.
+        incarnation: Wall clock of the process's start, ms; a restart has a higher.
+        sequence: Raised by the member itself, whenever it changes.
+        state: As far as is known.
+        zone: Its availability zone.
+        callers: ``IP:PORT`` of its callers' listener.
+        relay: ``IP:PORT`` of its relay listener.
+        control: ``IP:PORT`` of its control listener.
+        operator: ``IP:PORT`` of its operator listener.
+        service: What its backend server serves, empty where there is none.
+        backend_server: ``IP:PORT`` of the backend server.
+        serving: Whether it takes new work.
+        serving_since_ms: Wall clock since when.
+        slots: Calls that the backend server announced to take at once, 0 unknown.
+        share: Share of every rate that is in force at it, negative before its start
+            is complete.
+    """
+
+    __slots__ = (
+        "backend_server",
+        "callers",
+        "control",
+        "incarnation",
+        "instance",
+        "operator",
+        "relay",
+        "sequence",
+        "service",
+        "serving",
+        "serving_since_ms",
+        "share",
+        "slots",
+        "state",
+        "zone",
+    )
+
+    def __init__(self, instance: str, incarnation: int, sequence: int = 0, **rest: Any):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.state: State = rest.get("state", State.ALIVE)
+        self.zone: str = rest.get("zone", "")
+        self.callers: str = rest.get("callers", "")
+        self.relay: str = rest.get("relay", "")
+        self.control: str = rest.get("control", "")
+        self.operator: str = rest.get("operator", "")
+        self.service: str = rest.get("service", "")
+        self.backend_server: str = rest.get("backend_server", "")
+        self.serving: bool = rest.get("serving", False)
+        self.serving_since_ms: int = rest.get("serving_since_ms", 0)
+        self.slots: int = rest.get("slots", 0)
+        self.share: float = rest.get("share", -1.0)
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """What decides between two reports of one member: the higher wins."""
+        return (self.incarnation, self.sequence, self.state)
+
+    @property
+    def reachable(self) -> bool:
+        """Whether it may be asked."""
+        return self.state in (State.ALIVE, State.SUSPECT)
+
+    def replace(self, **changes: Any) -> "Member":
+        """Return a copy with changes."""
+        fields = {name: getattr(self, name) for name in self.__slots__}
+        return Member(**(fields | changes))
+
+    def to_proto(self, age: float = 0.0) -> pb.Member:
+        """Return the message that tells of the member, whose state is so old (s)."""
+        fields = {name: getattr(self, name) for name in self.__slots__}
+        fields["state"] = int(self.state)
+        return pb.Member(**fields, state_age_ms=int(age * 1000))
+
+    def to_dict(self) -> dict[str, Any]:
+        """Return the member for JSON."""
+        fields = {name: getattr(self, name) for name in self.__slots__}
+        return fields | {"state": self.state.name.lower()}
+
+
+def read_member(message: pb.Member) -> Member:
+    """Return the member that a message tells of."""
+    fields = {name: getattr(message, name) for name in Member.__slots__}
+    # A state of a later version is one that this version cannot serve with.
+    known = message.state in State._value2member_map_
+    fields["state"] = State(message.state) if known else State.SUSPECT
+    return Member(**fields)
+
+
+OnChange = Callable[[Member, Member | None], None]
+
+
+class Members:
+    """Every member as this instance knows it.
+
+    Args:
+        own: This instance.
+        clock: Seconds, for ages only.
+    """
+
+    def __init__(self, own: Member, clock: Callable[[], float] = time.monotonic):
+        self._own = own
+        self._clock = clock
+        self._table: dict[str, Member] = {own.instance: own}
+        self._changed_at: dict[str, float] = {own.instance: clock()}
+        self._sends: dict[str, int] = {own.instance: 1}
+        self._watchers: list[OnChange] = []
+        self._version = 0
+        self._by_control: dict[str, str] = {own.control: own.instance}
+        self._buckets = [0] * BUCKETS
+        self._mix_into_buckets(own)
+
+    @property
+    def own(self) -> Member:
+        """This instance."""
+        return self._own
+
+    @property
+    def version(self) -> int:
+        """A number that grows with every change; for what is derived from the table."""
+        return self._version
+
+    def __len__(self) -> int:
+        return len(self._table)
+
+    def __iter__(self):
+        return iter(self._table.values())
+
+    def get(self, instance: str) -> Member | None:
+        """Return the member of this name."""
+        return self._table.get(instance)
+
+    def watch(self, watcher: OnChange) -> None:
+        """Call ``watcher`` with each new report and the one before it."""
+        self._watchers.append(watcher)
+
+    def get_reachable(self, zone: str = "") -> list[Member]:
+        """Return members that may be asked, of one zone or of all."""
+        return [
+            member
+            for member in self._table.values()
+            if member.reachable and zone in ("", member.zone)
+        ]
+
+    def count_electorate(self, zone: str) -> tuple[int, int]:
+        """Return how many members of a zone are reachable, and of how many.
+
+        Dead members count in the whole for as long as they are remembered, so that
+        a part of a zone that is cut off from the rest does not take itself for all.
+        """
+        states = [m.state for m in self._table.values() if m.zone == zone]
+        whole = sum(state is not State.LEFT for state in states)
+        reachable = sum(state in (State.ALIVE, State.SUSPECT) for state in states)
+        return reachable, whole
+
+    def change_own(self, **changes: Any) -> None:
+        """Change what this instance says of itself."""
+        sequence = self._own.sequence + 1
+        self._put(self._own.replace(sequence=sequence, **changes))
+
+    def merge(self, report: Member, age: float = 0.0) -> bool:
+        """Take a report in, unless a better one is known.
+
+        Args:
+            report: What was told.
+            age: Seconds since the member's state was first told.
+
+        Returns:
+            Whether it was news.
+        """
+        if report.instance == self._own.instance:
+            return self._refute(report)
+        known = self._table.get(report.instance)
+        if known is not None and report.rank <= known.rank:
+            return False
+        if not report.reachable and age > TOMBSTONE_SECONDS:
+            # Others are about to forget it; taken in anew, it would travel in
+            # circles for ever.
+            return False
+        self._put(report, age)
+        self._end_predecessors(report)
+        return True
+
+    def suspect(self, instance: str) -> None:
+        """Mark a member that does not answer."""
+        self._change_state(instance, State.ALIVE, State.SUSPECT)
+
+    def declare_dead(self, instance: str) -> None:
+        """Mark a member that did not refute a suspicion."""
+        self._change_state(instance, State.SUSPECT, State.DEAD)
+
+    def expire(self, suspicion: float) -> None:
+        """End suspicions older than ``suspicion`` seconds; forget old tombstones."""
+        now = self._clock()
+        for member in list(self._table.values()):
+            age = now - self._changed_at[member.instance]
+            if member.state is State.SUSPECT and age > suspicion:
+                self.declare_dead(member.instance)
+            elif not member.reachable and age > TOMBSTONE_SECONDS:
+                self._forget(member.instance)
+
+    def to_proto(self, member: Member) -> pb.Member:
+        """Return the message that tells of a member, and how old its state is."""
+        return member.to_proto(self._clock() - self._changed_at[member.instance])
+
+    def take_updates(self, most: int) -> list[Member]:
+        """Return the news to send next, the least sent first."""
+        chosen = sorted(self._sends, key=self._sends.__getitem__, reverse=True)[:most]
+        updates = []
+        for instance in chosen:
+            updates.append(self._table[instance])
+            self._sends[instance] -= 1
+            if self._sends[instance] <= 0:
+                del self._sends[instance]
+        return updates
+
+    @property
+    def has_updates(self) -> bool:
+        """Whether there is news to send."""
+        return bool(self._sends)
+
+    def hash_buckets(self) -> list[int]:
+        """Return a hash for each part of the table; equal tables hash alike."""
+        return list(self._buckets)
+
+    def find_differing(self, buckets: Iterable[int]) -> list[Member]:
+        """Return the members of the parts whose hash is another."""
+        mine = self.hash_buckets()
+        theirs = list(buckets)
+        if len(theirs) != BUCKETS:
+            return []
+        return [
+            member
+            for member in self._table.values()
+            if theirs[_bucket_of(member.instance)] != mine[_bucket_of(member.instance)]
+        ]
+
+    def _refute(self, report: Member) -> bool:
+        if report.rank <= self._own.rank:
+            return False
+        if self._own.state is State.LEFT:
+            return False
+        incarnation = max(report.incarnation, self._own.incarnation)
+        self._put(
+            self._own.replace(incarnation=incarnation, sequence=report.sequence + 1)
+        )
+        return True
+
+    def _end_predecessors(self, report: Member) -> None:
+        """End members whose address a newer member has taken over."""
+        if report.state is not State.ALIVE:
+            return
+        before = self._table.get(self._by_control.get(report.control, ""))
+        self._by_control[report.control] = report.instance
+        if before is None or before.instance in (report.instance, self._own.instance):
+            return
+        if before.reachable and before.incarnation < report.incarnation:
+            self._put(before.replace(state=State.DEAD))
+
+    def _change_state(self, instance: str, before: State, after: State) -> None:
+        member = self._table.get(instance)
+        if member is not None and member.state is before and member is not self._own:
+            self._put(member.replace(state=after))
+
+    def _put(self, member: Member, age: float = 0.0) -> None:
+        previous = self._table.get(member.instance)
+        self._table[member.instance] = member
+        self._changed_at[member.instance] = self._clock() - age
+        self._sends[member.instance] = self._count_sends()
+        self._version += 1
+        if previous is not None:
+            self._mix_into_buckets(previous)
+        self._mix_into_buckets(member)
+        if member.instance == self._own.instance:
+            self._own = member
+        for watcher in self._watchers:
+            watcher(member, previous)
+
+    def _count_sends(self) -> int:
+        return SENDS_FACTOR * math.ceil(math.log2(len(self._table) + 1))
+
+    def _mix_into_buckets(self, member: Member) -> None:
+        """Add a report to its bucket's hash; a second time takes it out again."""
+        text = f"{member.instance}|{member.rank}"
+        self._buckets[_bucket_of(member.instance)] ^= zlib.crc32(text.encode())
+
+    def _forget(self, instance: str) -> None:
+        member = self._table.pop(instance)
+        self._mix_into_buckets(member)
+        if self._by_control.get(member.control) == instance:
+            del self._by_control[member.control]
+        del self._changed_at[instance]
+        self._sends.pop(instance, None)
+        self._version += 1
+
+
+def _bucket_of(instance: str) -> int:
+    return zlib.crc32(instance.encode()) % BUCKETS
--- /dev/null
+++ b/primroseglade/fleet/stream.py
@@ -0,0 +1,105 @@
+"""The membership stream in the log: how a new node finds others."""
+
+import asyncio
+import random
+from typing import Any
+
+from ..addresses import parse_address
+from ..platform.log import (
+    LogClient,
+    LogUnavailableError,
+    MEMBERSHIP,
+    OffsetGoneError,
+)
+from .members import Member
+
+FORMAT = 1
+# A start reads the stream's end only: a few nodes that answer give the whole table.
+RECORDS_READ = 200
+FIRST_RETRY_SECONDS = 0.2
+LONGEST_RETRY_SECONDS = 5.0
+
+
+class MembershipStream:
+    """Writes this node's joins, renewals and departure, and reads others'.
+
+    Args:
+        log: The platform's log.
+        renewal: Seconds between two entries of a node that stays.
+    """
+
+    def __init__(self, log: LogClient, renewal: float):
+        self._log = log
+        self._renewal = renewal
+
+    async def find_contacts(self) -> list[str]:
+        """Return control addresses of the nodes that joined or renewed last.
+
+        Raises:
+            LogUnavailableError: The log does not answer.
+        """
+        try:
+            first, end = await self._log.get_range(MEMBERSHIP)
+            start = max(first, end - RECORDS_READ)
+            if start >= end:
+                return []
+            records = await self._log.read(MEMBERSHIP, start, 0.0)
+        except OffsetGoneError:
+            return []
+        contacts: dict[str, str] = {}
+        for record in records:
+            entry = _read_entry(record.value)
+            if entry is None:
+                continue
+            instance, control, leaves = entry
+            contacts.pop(instance, None)
+            if not leaves:
+                contacts[instance] = control
+        return list(reversed(contacts.values()))
+
+    async def run(self, own: Member) -> None:
+        """Join, then renew for as long as the node runs."""
+        while True:
+            await self._append(_build_entry(own, "join"))
+            await asyncio.sleep(self._renewal * random.uniform(0.8, 1.2))
+
+    async def leave(self, own: Member) -> None:
+        """Tell of a planned stop; a stop does not wait for a log that is away."""
+        try:
+            await self._log.append(MEMBERSHIP, _build_entry(own, "leave"))
+        except LogUnavailableError:
+            return
+
+    async def _append(self, entry: dict[str, Any]) -> None:
+        delay = FIRST_RETRY_SECONDS
+        while True:
+            try:
+                await self._log.append(MEMBERSHIP, entry)
+                return
+            except LogUnavailableError:
+                await asyncio.sleep(random.uniform(delay / 2, delay))
+                delay = min(LONGEST_RETRY_SECONDS, delay * 2)
+
+
+def _build_entry(own: Member, kind: str) -> dict[str, Any]:
+    return {
+        "format": FORMAT,
+        "kind": kind,
+        "instance": own.instance,
+        "zone": own.zone,
+        "control": own.control,
+    }
+
+
+def _read_entry(value: Any) -> tuple[str, str, bool] | None:
+    """Return instance, control address and whether it leaves; None if unreadable."""
+    if not isinstance(value, dict) or value.get("format") != FORMAT:
+        return None
+    instance, control = value.get("instance"), value.get("control")
+    if not isinstance(instance, str) or not isinstance(control, str):
+        return None
+    try:
+        parse_address(control)
+    except ValueError:
+        return None
+    return instance, control, value.get("kind") == "leave"
--- /dev/null
+++ b/primroseglade/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Admission beside a backend server: importance, queue and concurrency limit."""
--- /dev/null
+++ b/primroseglade/limits/admission.py
@@ -0,0 +1,242 @@
+"""The admission queue in front of a backend server."""
+
+import asyncio
+import collections
+import random
+import time
+from collections.abc import Callable, Iterator
+
+from ..calls.call import Context
+from ..verdicts import not_run, Reason, Refusal
+from .concurrency import ConcurrencyLimit
+from .importance import Importance
+
+SHORTEST_RETRY_SECONDS = 0.1
+LONGEST_RETRY_SECONDS = 5.0
+
+Refuse = Callable[[Context], Refusal | None]
+
+
+class Waiter:
+    """A call that waits, and the future that lets it go."""
+
+    __slots__ = ("arrived", "context", "priority", "turn")
+
+    def __init__(self, context: Context, turn: "asyncio.Future[None]", arrived: float):
+        self.context = context
+        self.turn = turn
+        self.arrived = arrived
+        self.priority = hash_root(context.root)
+
+    @property
+    def waiting(self) -> bool:
+        """Whether it was neither let go nor refused."""
+        return not self.turn.done()
+
+
+def hash_root(root: str) -> int:
+    """Return a root call's place in the order in which calls are shed.
+
+    Every hop sheds the calls with the highest value first. With an order of its own
+    at each hop, a call of five hops that each shed one in five would be served one
+    time in three, and the other two would have used slots for nothing.
+    """
+    return int(root[-8:], 16)
+
+
+class AdmissionQueue:
+    """Lets calls through up to the limit; more wait a short time or are refused.
+
+    Higher classes go first. Inside a class workspaces take turns, so that one with
+    many calls cannot push out one with few. Inside a workspace the oldest call goes
+    first while the queue empties now and then; once it stands, the call that the
+    other hops favour too.
+
+    Args:
+        limit: How many calls go at once.
+        capacity: How many may wait.
+        longest_wait: Seconds after which a waiting call is refused.
+    """
+
+    def __init__(self, limit: ConcurrencyLimit, capacity: int, longest_wait: float):
+        self._limit = limit
+        self._capacity = capacity
+        self._longest_wait = longest_wait
+        self._in_flight = 0
+        self._size = 0
+        self._standing_since: float | None = None
+        self._classes: dict[
+            Importance, collections.OrderedDict[str, collections.deque[Waiter]]
+        ] = {level: collections.OrderedDict() for level in Importance}
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that were let through and are not done."""
+        return self._in_flight
+
+    @property
+    def size(self) -> int:
+        """Calls that wait."""
+        return self._size
+
+    @property
+    def limit(self) -> ConcurrencyLimit:
+        """The limit."""
+        return self._limit
+
+    def replace_limit(self, limit: ConcurrencyLimit) -> None:
+        """Go on with another limit, for another backend server."""
+        self._limit = limit
+        self._let_go()
+
+    async def acquire(self, context: Context) -> float:
+        """Wait for a turn.
+
+        Returns:
+            Seconds waited.
+
+        Raises:
+            Refusal: ``not run``: overloaded, or nobody waits for the call any more.
+        """
+        if context.remaining <= 0:
+            raise not_run(Reason.DEADLINE_EXCEEDED, "the deadline had passed")
+        if self._in_flight < self._limit.value and not self._size:
+            self._in_flight += 1
+            return 0.0
+        if self._size >= self._capacity:
+            self._make_room(context)
+        return await self._wait(context)
+
+    def release(self) -> None:
+        """Give a turn back."""
+        self._in_flight -= 1
+        self._let_go()
+
+    def refuse_where(self, refuse: Refuse) -> None:
+        """Refuse waiting calls at once, by what ``refuse`` returns for each."""
+        for waiter in list(self._iterate()):
+            refusal = refuse(waiter.context)
+            if refusal is not None and waiter.waiting:
+                self._remove(waiter)
+                waiter.turn.set_exception(refusal)
+
+    def estimate_retry_after(self) -> float:
+        """Return seconds after which a turn may be free, spread over callers."""
+        per_call = self._limit.latency / self._limit.value
+        drain = self._size * per_call
+        base = min(LONGEST_RETRY_SECONDS, max(SHORTEST_RETRY_SECONDS, drain))
+        return base * random.uniform(1.0, 2.0)
+
+    async def _wait(self, context: Context) -> float:
+        loop = asyncio.get_running_loop()
+        now = time.monotonic()
+        waiter = Waiter(context, loop.create_future(), now)
+        self._add(waiter)
+        patience = min(self._longest_wait, context.remaining)
+        timer = loop.call_later(patience, self._give_up, waiter)
+        try:
+            await waiter.turn
+        except asyncio.CancelledError:
+            self._leave(waiter)
+            raise
+        finally:
+            timer.cancel()
+        return time.monotonic() - now
+
+    def _leave(self, waiter: Waiter) -> None:
+        """Take out a call whose caller went away, or give its turn to the next."""
+        if waiter.turn.done() and not waiter.turn.cancelled():
+            if waiter.turn.exception() is None:
+                self.release()
+        else:
+            self._remove(waiter)
+
+    def _give_up(self, waiter: Waiter) -> None:
+        if waiter.waiting:
+            self._remove(waiter)
+            waiter.turn.set_exception(self._build_refusal(waiter.context))
+
+    def _build_refusal(self, context: Context) -> Refusal:
+        if context.remaining <= 0:
+            return not_run(Reason.DEADLINE_EXCEEDED, "the deadline passed in the queue")
+        detail = f"{self._in_flight} calls at work, {self._size} waiting"
+        return not_run(Reason.OVERLOADED, detail, self.estimate_retry_after())
+
+    def _make_room(self, context: Context) -> None:
+        """Refuse the waiting call that matters least, or the new one if that is it."""
+        worst = self._find_worst(context)
+        if worst is None:
+            raise self._build_refusal(context)
+        self._remove(worst)
+        worst.turn.set_exception(self._build_refusal(worst.context))
+
+    def _find_worst(self, context: Context) -> Waiter | None:
+        for level in Importance:
+            if level > context.importance:
+                return None
+            queues = self._classes[level]
+            if not queues:
+                continue
+            longest = max(queues, key=lambda name: len(queues[name]))
+            worst = max(queues[longest], key=lambda waiter: waiter.priority)
+            if level < context.importance:
+                return worst
+            mine = len(queues.get(context.workspace, ())) + 1
+            if longest != context.workspace and len(queues[longest]) >= mine:
+                return worst
+            if worst.priority > hash_root(context.root):
+                return worst
+            return None
+        return None
+
+    def _add(self, waiter: Waiter) -> None:
+        if not self._size:
+            self._standing_since = waiter.arrived
+        queues = self._classes[waiter.context.importance]
+        queue = queues.setdefault(waiter.context.workspace, collections.deque())
+        queue.append(waiter)
+        self._size += 1
+
+    def _remove(self, waiter: Waiter) -> None:
+        queues = self._classes[waiter.context.importance]
+        queue = queues.get(waiter.context.workspace)
+        if queue is None or waiter not in queue:
+            return
+        queue.remove(waiter)
+        self._size -= 1
+        if not queue:
+            del queues[waiter.context.workspace]
+        if not self._size:
+            self._standing_since = None
+
+    def _let_go(self) -> None:
+        while self._size and self._in_flight < self._limit.value:
+            waiter = self._take_next()
+            if waiter.context.remaining <= 0:
+                waiter.turn.set_exception(self._build_refusal(waiter.context))
+                continue
+            self._in_flight += 1
+            waiter.turn.set_result(None)
+
+    def _take_next(self) -> Waiter:
+        queues = next(
+            self._classes[level]
+            for level in reversed(Importance)
+            if self._classes[level]
+        )
+        workspace, queue = next(iter(queues.items()))
+        waiter = min(queue, key=lambda w: w.priority) if self._stands() else queue[0]
+        self._remove(waiter)
+        if workspace in queues:
+            queues.move_to_end(workspace)
+        return waiter
+
+    def _stands(self) -> bool:
+        """Whether the queue has not been empty for as long as a call waits."""
+        since = self._standing_since
+        return since is not None and time.monotonic() - since > self._longest_wait
+
+    def _iterate(self) -> Iterator[Waiter]:
+        for queues in self._classes.values():
+            for queue in queues.values():
+                yield from queue
--- /dev/null
+++ b/primroseglade/node.py
@@ -0,0 +1,455 @@
+"""One node: every part put together, started, and stopped without cutting a call."""
+
+import asyncio
+import time
+from typing import Any
+
+from .announcing import build_announcing_application, PREFIX
+from .calls.backend import BackendServer
+from .calls.context import ContextSeal
+from .calls.dispatch import Dispatcher, RetryShare
+from .calls.entries import CallersEntry, NestedEntry, RelayEntry, Tools
+from .calls.handles import Handles
+from .calls.relay import Relay
+from .calls.routing import Router
+from .document.fold import Outcome
+from .errors import InputError
+from .fleet.configuration import (
+    Configuration,
+    LogReader,
+    PeerPuller,
+    SnapshotWriter,
+)
+from .fleet.confirm import Confirmer
+from .fleet.control import ControlClient, ControlServer, PeerError
+from .fleet.gossip import Gossip
+from .fleet.members import Member, Members, State
+from .fleet.seal import Sealer
+from .fleet.stream import MembershipStream
+from .listener import Listener
+from .observe.decisions import Decisions
+from .observe.events import Journal, NODE_STARTED, NODE_STOPPED, NODE_STOPPING
+from .observe.metrics import Metrics
+from .observe.traces import Tracer
+from .operations.record import Record
+from .operations.recorder import Recorder
+from .operator_pages import build_operator_application
+from .platform.log import LogClient, LogUnavailableError
+from .rates.charger import Charger
+from .rates.holder import Entitlement, Holder
+from .rates.lease import Candidate, Elector, get_partition
+from .rates.shares import ShareGate
+from .settings.node import NodeSettings
+from .supervisor import Supervisor
+
+START_TIMEOUT_SECONDS = 5.0
+
+
+class Node:
+    """A node process's parts.
+
+    Args:
+        settings: Of this process.
+    """
+
+    def __init__(self, settings: NodeSettings):
+        self._settings = settings
+        self._journal = Journal(settings.instance, settings.log.level)
+        self._metrics = Metrics()
+        self._decisions = Decisions()
+        self._tracer = Tracer(
+            settings.instance, settings.traces.sampled, settings.traces.kept
+        )
+        self._supervisor = Supervisor("node", self._journal)
+        self._build_fleet()
+        self._build_rates()
+        self._build_calls()
+        self._build_listeners()
+
+    @property
+    def settings(self) -> NodeSettings:
+        """What it was told."""
+        return self._settings
+
+    @property
+    def members(self) -> Members:
+        """The fleet as it sees it."""
+        return self._members
+
+    @property
+    def configuration(self) -> Configuration:
+        """The document as it has it."""
+        return self._configuration
+
+    @property
+    def confirmer(self) -> Confirmer:
+        """Asks the fleet how far it is."""
+        return self._confirmer
+
+    @property
+    def metrics(self) -> Metrics:
+        """Its metrics."""
+        return self._metrics
+
+    @property
+    def journal(self) -> Journal:
+        """Its events."""
+        return self._journal
+
+    @property
+    def decisions(self) -> Decisions:
+        """What it decided on refused and slow calls."""
+        return self._decisions
+
+    @property
+    def tracer(self) -> Tracer:
+        """Its spans."""
+        return self._tracer
+
+    @property
+    def holder(self) -> Holder:
+        """The rate tokens that it holds."""
+        return self._holder
+
+    @property
+    def candidate(self) -> Candidate:
+        """Its leases."""
+        return self._candidate
+
+    @property
+    def backend(self) -> BackendServer:
+        """The backend server beside it."""
+        return self._backend
+
+    @property
+    def listeners(self) -> dict[str, str]:
+        """Address of each listener."""
+        addresses = {name: item.address for name, item in self._listeners.items()}
+        return addresses | {"control": self._server.address}
+
+    async def start(self) -> None:
+        """Open the listeners and take the configuration from wherever it is had.
+
+        Returns when calls are accepted, with or without a configuration: an instance
+        that has none refuses every call as not run, and says why.
+        """
+        for name, listener in self._listeners.items():
+            self._supervisor.start(name, listener.run)
+        self._supervisor.start("control", self._server.run)
+        for listener in self._listeners.values():
+            await listener.wait_started()
+        await self._take_state()
+        self._shares.activate(self._get_shares_told())
+        self._supervisor.start("gossip", self._gossip.run)
+        self._supervisor.start("puller", self._puller.run)
+        self._supervisor.start("log reader", self._reader.run)
+        self._supervisor.start("snapshots", self._snapshots.run)
+        self._supervisor.start("leases", self._candidate.run)
+        self._supervisor.start("shares", self._shares.run)
+        self._supervisor.start(
+            "membership stream", lambda: self._stream.run(self._members.own)
+        )
+        self._journal.emit(NODE_STARTED, **self.listeners)
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Start, serve until told to stop, and stop.
+
+        Raises:
+            ExceptionGroup: A part failed too often.
+        """
+        await self.start()
+        waits = [
+            asyncio.create_task(stopping.wait()),
+            asyncio.create_task(self._supervisor.wait_failed()),
+        ]
+        done, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for task in pending:
+            task.cancel()
+        await self.stop()
+        for task in done:
+            task.result()
+
+    async def stop(self) -> None:
+        """Stop without cutting off a call.
+
+        The order matters. First the fleet is told, and new work is refused here as
+        not run. Callers who do not know yet are served through other nodes for a
+        while, and are asked to open no more calls on their connections. Only then
+        do the listeners close, and calls in flight are waited for.
+        """
+        self._journal.emit(NODE_STOPPING, in_flight=self._tools.in_flight.count)
+        self._backend.leave()
+        for entry in self._entries:
+            entry.close_after_answers()
+        await self._gossip.say_goodbye(serving=False)
+        await self._stream.leave(self._members.own)
+        await asyncio.sleep(self._settings.timeouts.lame_duck)
+        grace = self._settings.timeouts.drain
+        try:
+            await asyncio.wait_for(self._tools.in_flight.wait_idle(), grace)
+        except asyncio.TimeoutError:
+            pass
+        await self._candidate.give_up()
+        await self._gossip.say_goodbye(state=State.LEFT)
+        for listener in self._listeners.values():
+            listener.stop(grace)
+        await self._close()
+        self._journal.emit(NODE_STOPPED)
+
+    async def kill(self) -> None:
+        """Go without a word, as a killed process does; for tests and the demo."""
+        for listener in self._listeners.values():
+            listener.abort()
+        await self._close()
+
+    def describe(self) -> dict[str, Any]:
+        """Return the node's view of itself and the fleet."""
+        configuration = self._configuration
+        return {
+            "instance": self._settings.instance,
+            "zone": self._settings.zone,
+            "time": round(time.time(), 3),
+            "listeners": self.listeners,
+            "in_flight": self._tools.in_flight.count,
+            "configuration": {
+                "ready": configuration.ready,
+                "next_offset": configuration.next_offset,
+                "age_seconds": round(min(configuration.age, 1e9), 3),
+                "reads_log": self._reader.is_reader(),
+            },
+            "backend_server": self._backend.to_dict(),
+            "rates_held": self._holder.describe(),
+            "members": sorted(
+                (member.to_dict() for member in self._members),
+                key=lambda fields: fields["instance"],
+            ),
+        }
+
+    async def _close(self) -> None:
+        await self._supervisor.close()
+        self._relay.close()
+        await self._client.close()
+        await self._log.close()
+
+    async def _take_state(self) -> None:
+        """Take configuration and members from the log, and from peers without it."""
+        contacts = list(self._settings.seeds)
+        try:
+            async with asyncio.timeout(START_TIMEOUT_SECONDS):
+                await self._reader.start()
+                contacts = await self._stream.find_contacts() + contacts
+        except (LogUnavailableError, asyncio.TimeoutError):
+            pass
+        await self._gossip.introduce(contacts)
+        if self._configuration.ready:
+            return
+        for control in contacts:
+            try:
+                await self._puller.pull(control)
+            except (PeerError, InputError):
+                continue
+            if self._configuration.ready:
+                return
+
+    def _build_fleet(self) -> None:
+        settings = self._settings
+        sealer = Sealer(settings.fleet_secret, settings.instance)
+        self._server = ControlServer(
+            settings.listen.control, sealer, self._metrics, self._journal
+        )
+        self._client = ControlClient(sealer, self._metrics)
+        self._log = LogClient(settings.platform)
+        self._configuration = Configuration(
+            settings.fleet_secret, self._journal, self._metrics
+        )
+        own = Member(
+            settings.instance,
+            int(time.time() * 1000),
+            zone=settings.zone,
+            control=self._server.address,
+        )
+        self._members = Members(own)
+        self._puller = PeerPuller(
+            self._configuration, self._client, lambda: self._gossip.spread()
+        )
+        self._gossip = Gossip(
+            self._members,
+            self._client,
+            self._journal,
+            self._metrics,
+            settings.fleet.period,
+            settings.fleet.suspicion,
+            lambda: (self._configuration.next_offset, self._configuration.age),
+            self._puller.note_offset,
+        )
+        self._reader = LogReader(
+            self._configuration,
+            self._log,
+            self._members,
+            settings.fleet.readers,
+            self._journal,
+        )
+        self._snapshots = SnapshotWriter(
+            self._configuration,
+            self._log,
+            self._reader,
+            settings.fleet.snapshot,
+            self._journal,
+        )
+        self._stream = MembershipStream(self._log, settings.fleet.renewal)
+        self._confirmer = Confirmer(self._configuration, self._members, self._client)
+        self._recorder = Recorder(self._members, self._client, Record())
+        for part in (self._puller, self._gossip, self._confirmer, self._recorder):
+            part.register(self._server)
+        self._configuration.watch(self._apply_outcome)
+        self._members.watch(self._forget_gone)
+
+    def _build_rates(self) -> None:
+        settings = self._settings
+        elector = Elector(self._members, settings.fleet.lease)
+        self._shares = ShareGate(
+            settings.zone, self._configuration, self._confirmer, self._apply_shares
+        )
+        self._candidate = Candidate(
+            self._members,
+            elector,
+            self._client,
+            self._get_partitions,
+            lambda lease: self._holder.start_lease(lease),
+            settings.fleet.lease,
+            self._journal,
+            self._metrics,
+        )
+        self._holder = Holder(
+            self._members,
+            self._candidate,
+            self._client,
+            self._get_entitlement,
+            settings.fleet.grant,
+        )
+        elector.register(self._server)
+        self._holder.register(self._server)
+        self._charger = Charger(
+            self._members,
+            self._holder,
+            self._client,
+            lambda workspace: self._configuration.document.rates.get(workspace),
+            self._metrics,
+        )
+
+    def _build_calls(self) -> None:
+        settings = self._settings
+        handles = Handles()
+        seal = ContextSeal(settings.fleet_secret, settings.instance)
+        self._tools = Tools(
+            settings,
+            self._configuration,
+            self._journal,
+            self._metrics,
+            self._tracer,
+            self._decisions,
+        )
+        self._backend = BackendServer(
+            settings,
+            lambda service, address: self._configuration.document.trusts(
+                service, address
+            ),
+            lambda workspace, key: self._configuration.document.holds_key(
+                workspace, key
+            ),
+            self._tell_of_backend,
+            handles,
+            self._journal,
+            self._metrics,
+        )
+        self._router = Router(self._members)
+        self._relay = Relay(settings, seal)
+        dispatcher = Dispatcher(
+            self._members,
+            self._router,
+            self._backend,
+            self._relay,
+            RetryShare(settings.retries.share),
+            self._journal,
+            self._metrics,
+        )
+        self._callers_entry = CallersEntry(
+            self._tools, dispatcher, self._router, self._charger, self._recorder
+        )
+        self._relay_entry = RelayEntry(self._tools, self._backend, seal)
+        self._nested_entry = NestedEntry(self._tools, dispatcher, handles)
+        self._entries = (self._callers_entry, self._relay_entry, self._nested_entry)
+
+    def _build_listeners(self) -> None:
+        listen = self._settings.listen
+        header = self._settings.limits.header
+        announcing = build_announcing_application(self._backend)
+        nested = self._nested_entry
+
+        async def serve_backend(scope: Any, receive: Any, send: Any) -> None:
+            own = scope["raw_path"].startswith(PREFIX)
+            await (announcing if own else nested)(scope, receive, send)
+
+        operator = build_operator_application(self)
+        self._listeners = {
+            "callers": Listener(self._callers_entry, listen.callers, header),
+            "relay": Listener(self._relay_entry, listen.relay, header),
+            "backend": Listener(serve_backend, listen.backend, header),
+            "operator": Listener(operator, listen.operator, header),
+        }
+        self._members.change_own(
+            callers=self._listeners["callers"].address,
+            relay=self._listeners["relay"].address,
+            operator=self._listeners["operator"].address,
+        )
+
+    def _tell_of_backend(self) -> None:
+        announced = self._backend.announcement
+        serving = self._backend.serving
+        own = self._members.own
+        since = own.serving_since_ms
+        if serving and not own.serving:
+            since = int(time.time() * 1000)
+        self._members.change_own(
+            service=announced.service if announced else "",
+            backend_server=announced.address if announced else "",
+            slots=(announced.slots or 0) if announced else 0,
+            serving=serving,
+            serving_since_ms=since,
+        )
+
+    def _apply_outcome(self, outcome: Outcome) -> None:
+        if not outcome.accepted:
+            return
+        self._backend.apply_document()
+        self._shares.note_change()
+        self._holder.apply_entitlements()
+        self._gossip.spread()
+
+    def _apply_shares(self) -> None:
+        self._holder.apply_entitlements()
+        if self._members.own.share != self._shares.share:
+            self._members.change_own(share=self._shares.share)
+
+    def _get_shares_told(self) -> list[float]:
+        return [
+            member.share
+            for member in self._members.get_reachable(self._settings.zone)
+            if member.instance != self._settings.instance and member.share >= 0
+        ]
+
+    def _forget_gone(self, member: Member, _: Member | None) -> None:
+        if not member.reachable:
+            self._router.forget(member.instance)
+            self._relay.forget(member.relay)
+
+    def _get_partitions(self) -> set[int]:
+        rates = self._configuration.document.rates
+        return {get_partition(workspace) for workspace in rates}
+
+    def _get_entitlement(self, workspace: str) -> Entitlement | None:
+        rate = self._configuration.document.rates.get(workspace)
+        if rate is None:
+            return None
+        share = self._shares.share
+        return Entitlement(rate.per_second * share, rate.burst * share)
--- /dev/null
+++ b/primroseglade/observe/traces.py
@@ -0,0 +1,125 @@
+"""Spans, one a hop, with W3C trace context in and out."""
+
+import collections
+import random
+from typing import Any
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor, TracerProvider
+from opentelemetry.sdk.trace.sampling import ALWAYS_ON
+from opentelemetry.trace import NonRecordingSpan, Span, SpanContext, TraceFlags
+
+SAMPLED = 0x01
+TRACEPARENT_LENGTH = 55
+
+
+class TraceParent:
+    """The ids of a W3C ``traceparent`` header, in hex."""
+
+    __slots__ = ("parent", "sampled", "trace")
+
+    def __init__(self, trace: str, parent: str, sampled: bool):
+        self.trace = trace
+        self.parent = parent
+        self.sampled = sampled
+
+    def __str__(self) -> str:
+        return f"00-{self.trace}-{self.parent}-{'01' if self.sampled else '00'}"
+
+
+def parse_traceparent(text: str) -> TraceParent | None:
+    """Parse a header; None where it is absent or malformed, as the standard asks.
+
+    >>> str(parse_traceparent("00-" + "a" * 32 + "-" + "b" * 16 + "-01"))[-6:]
+    'bbb-01'
+    >>> parse_traceparent("nonsense") is None
+    True
+    """
+    parts = text.split("-")
+    if len(parts) < 4 or len(parts[1]) != 32 or len(parts[2]) != 16:
+        return None
+    try:
+        ids = int(parts[1], 16), int(parts[2], 16)
+        flags = int(parts[3], 16)
+    except ValueError:
+        return None
+    if not all(ids) or parts[0] == "ff":
+        return None
+    return TraceParent(parts[1], parts[2], bool(flags & SAMPLED))
+
+
+def generate_trace_id() -> str:
+    """Return a new trace id: 128 random bits in hex."""
+    return f"{random.getrandbits(128) or 1:032x}"
+
+
+def generate_span_id() -> str:
+    """Return a new span id: 64 random bits in hex."""
+    return f"{random.getrandbits(64) or 1:016x}"
+
+
+class _Recent(SpanProcessor):
+    """Keeps the last spans for the operator address; nothing is sent elsewhere."""
+
+    def __init__(self, kept: int):
+        self.spans: collections.deque[ReadableSpan] = collections.deque(maxlen=kept)
+
+    def on_end(self, span: ReadableSpan) -> None:
+        self.spans.append(span)
+
+
+class Tracer:
+    """Makes an instance's spans.
+
+    Args:
+        instance: Name of the instance.
+        sampled: Share of root calls that are traced where the caller says nothing.
+        kept: How many spans are kept.
+    """
+
+    def __init__(self, instance: str, sampled: float, kept: int):
+        self._sampled = sampled
+        self._recent = _Recent(kept)
+        resource = Resource.create({"service.instance.id": instance})
+        provider = TracerProvider(sampler=ALWAYS_ON, resource=resource)
+        provider.add_span_processor(self._recent)
+        self._tracer = provider.get_tracer("primroseglade")
+
+    def sample(self) -> bool:
+        """Decide whether a root call is traced."""
+        return random.random() < self._sampled
+
+    def start(self, name: str, parent: TraceParent) -> Span | None:
+        """Start a span, or return None for a call that is not traced.
+
+        A call that is not traced costs no span at all: with the SDK's own sampler
+        it would cost most of one.
+        """
+        if not parent.sampled:
+            return None
+        context = SpanContext(
+            trace_id=int(parent.trace, 16),
+            span_id=int(parent.parent, 16),
+            is_remote=True,
+            trace_flags=TraceFlags(SAMPLED),
+        )
+        around = trace.set_span_in_context(NonRecordingSpan(context))
+        return self._tracer.start_span(name, context=around)
+
+    def find(self, trace_id: str) -> list[dict[str, Any]]:
+        """Return the kept spans of a trace, oldest first."""
+        wanted = int(trace_id, 16)
+        return [
+            {
+                "name": span.name,
+                "trace": f"{span.context.trace_id:032x}",
+                "span": f"{span.context.span_id:016x}",
+                "parent": f"{span.parent.span_id:016x}" if span.parent else "",
+                "start_ns": span.start_time,
+                "end_ns": span.end_time,
+                "attributes": dict(span.attributes or {}),
+            }
+            for span in self._recent.spans
+            if span.context.trace_id == wanted
+        ]
--- /dev/null
+++ b/primroseglade/operations/__init__.py
@@ -0,0 +1,1 @@
+"""At most once: which operations have run, as far as anyone remembers."""
--- /dev/null
+++ b/primroseglade/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services, met through their published HTTP interface."""
--- /dev/null
+++ b/primroseglade/platform/log.py
@@ -0,0 +1,125 @@
+"""Client of the platform's append-only log.
+
+The interface is the JSON form of the Kafka REST proxy: produce to a topic, read a
+partition's records from an offset, and ask for the first and last offsets.
+"""
+
+import asyncio
+import json
+from typing import Any
+
+import aiohttp
+
+from ..errors import PrimrosegladeError, UnreachableError
+
+CONTENT_TYPE = "application/vnd.kafka.json.v2+json"
+OFFSET_OUT_OF_RANGE = 1
+PARTITION = 0
+READ_BYTES = 1 << 20
+
+CONFIGURATION = "primroseglade.configuration"
+MEMBERSHIP = "primroseglade.membership"
+
+
+class LogUnavailableError(UnreachableError):
+    """The log gave no answer in time, or an answer that says it cannot serve.
+
+    An append that failed so may have taken effect.
+    """
+
+
+class OffsetGoneError(PrimrosegladeError):
+    """The log keeps no record of that offset any more, or not yet."""
+
+
+class LogRecord:
+    """A record and where it stands."""
+
+    __slots__ = ("offset", "value")
+
+    def __init__(self, offset: int, value: Any):
+        self.offset = offset
+        self.value = value
+
+
+class LogClient:
+    """Appends to and reads from topics, one partition each.
+
+    Args:
+        address: ``IP:PORT`` of the log service.
+        timeout: Seconds to wait for an answer, besides the wait of a long poll.
+    """
+
+    def __init__(self, address: str, timeout: float = 2.0):
+        self._url = f"http://{address}/topics"
+        self._timeout = timeout
+        self._session: aiohttp.ClientSession | None = None
+
+    async def append(self, topic: str, value: Any) -> int:
+        """Append one record.
+
+        Returns:
+            Its offset.
+
+        Raises:
+            LogUnavailableError: No answer; the record may stand all the same.
+        """
+        body = json.dumps({"records": [{"value": value, "partition": PARTITION}]})
+        answer = await self._ask("POST", f"/{topic}", self._timeout, body)
+        try:
+            return int(answer["offsets"][0]["offset"])
+        except (KeyError, IndexError, TypeError, ValueError) as error:
+            raise LogUnavailableError("the log answered without an offset") from error
+
+    async def read(self, topic: str, offset: int, wait: float) -> list[LogRecord]:
+        """Read records from an offset on, waiting up to ``wait`` seconds for one.
+
+        Raises:
+            LogUnavailableError: No answer in time.
+            OffsetGoneError: The offset is out of the range that the log keeps.
+        """
+        path = f"/{topic}/partitions/{PARTITION}/records"
+        query = f"?offset={offset}&timeout={int(wait * 1000)}&max_bytes={READ_BYTES}"
+        answer = await self._ask("GET", path + query, wait + self._timeout)
+        try:
+            return [LogRecord(int(item["offset"]), item["value"]) for item in answer]
+        except (KeyError, TypeError, ValueError) as error:
+            raise LogUnavailableError("the log answered in another form") from error
+
+    async def get_range(self, topic: str) -> tuple[int, int]:
+        """Return the offset of the first kept record and that of the next append."""
+        path = f"/{topic}/partitions/{PARTITION}/offsets"
+        answer = await self._ask("GET", path, self._timeout)
+        try:
+            return int(answer["beginning_offset"]), int(answer["end_offset"])
+        except (KeyError, TypeError, ValueError) as error:
+            raise LogUnavailableError("the log answered in another form") from error
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def _ask(
+        self, method: str, path: str, timeout: float, body: str | None = None
+    ) -> Any:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        headers = {"Accept": CONTENT_TYPE, "Content-Type": CONTENT_TYPE}
+        bound = aiohttp.ClientTimeout(total=timeout)
+        try:
+            async with self._session.request(
+                method, self._url + path, data=body, headers=headers, timeout=bound
+            ) as response:
+                answer = await response.json(content_type=None)
+                status = response.status
+        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+            reason = str(error) or type(error).__name__
+            raise LogUnavailableError(f"the log does not answer: {reason}") from error
+        if status == 200:
+            return answer
+        if isinstance(answer, dict):
+            if answer.get("error_code") == OFFSET_OUT_OF_RANGE:
+                raise OffsetGoneError("the offset is out of the log's range")
+        raise LogUnavailableError(f"the log answered with status {status}")
--- /dev/null
+++ b/primroseglade/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes, generated from ``control.proto`` by ``make proto``."""
--- /dev/null
+++ b/primroseglade/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Rates and bursts of workspaces, kept over the whole fleet without agreement."""
--- /dev/null
+++ b/primroseglade/rates/bucket.py
@@ -0,0 +1,106 @@
+"""A zone's token bucket for one workspace, which never makes a token twice.
+
+The sum of what stands in the bucket and of what was granted and may yet be spent is
+never over the burst. In any window, then, the tokens spent are at most those that
+stood or were out at its start, and those that accrued in it: burst + rate × time.
+"""
+
+import itertools
+import math
+
+
+class Grant:
+    """Tokens that went out, and until when they may be spent."""
+
+    __slots__ = ("expires_at", "id", "tokens")
+
+    def __init__(self, id: int, tokens: float, expires_at: float):  # noqa: A002
+        self.id = id
+        self.tokens = tokens
+        self.expires_at = expires_at
+
+
+class Bucket:
+    """Tokens that accrue with time, less what is out.
+
+    Args:
+        rate: Tokens a second.
+        burst: Most tokens that stand or are out together.
+        now: Seconds on the caller's clock.
+        blocked_until: Up to this time a predecessor's grants may be spent; they
+            count as if they were the whole burst.
+    """
+
+    _ids = itertools.count(1)
+
+    def __init__(self, rate: float, burst: float, now: float, blocked_until: float):
+        self._rate = rate
+        self._burst = burst
+        self._level = 0.0
+        self._updated_at = now
+        self._blocked_until = blocked_until
+        self._out: dict[int, Grant] = {}
+
+    @property
+    def level(self) -> float:
+        """Tokens that may be granted, as of the last accrual."""
+        return self._level
+
+    @property
+    def out(self) -> float:
+        """Tokens that were granted and may yet be spent."""
+        return sum(grant.tokens for grant in self._out.values())
+
+    @property
+    def rate(self) -> float:
+        """Tokens a second."""
+        return self._rate
+
+    def change(self, rate: float, burst: float, now: float) -> None:
+        """Go on with another rate and burst from now on."""
+        self.accrue(now)
+        self._rate = rate
+        self._burst = burst
+        self._level = max(0.0, min(self._level, burst - self.out))
+
+    def accrue(self, now: float) -> None:
+        """Bring the level up to date."""
+        expired = [g.id for g in self._out.values() if g.expires_at <= now]
+        for grant in expired:
+            del self._out[grant]
+        start = max(self._updated_at, self._blocked_until)
+        self._updated_at = max(self._updated_at, now)
+        if now <= start:
+            return
+        room = max(0.0, self._burst - self.out)
+        self._level = min(room, self._level + self._rate * (now - start))
+
+    def grant(self, wanted: float, life: float, now: float) -> Grant | None:
+        """Take up to ``wanted`` tokens out, for ``life`` seconds.
+
+        Returns:
+            The grant, or None where there is nothing to grant.
+        """
+        self.accrue(now)
+        tokens = min(wanted, self._level)
+        if tokens <= 0 or not math.isfinite(tokens):
+            return None
+        self._level -= tokens
+        grant = Grant(next(self._ids), tokens, now + life)
+        self._out[grant.id] = grant
+        return grant
+
+    def settle(self, grant_id: int, now: float) -> None:
+        """Note that nothing of a grant is left; a second time changes nothing.
+
+        Without this a spent token would count as out until its grant's end, and a
+        burst smaller than what is spent in a grant's life would throttle the rate.
+        """
+        self.accrue(now)
+        self._out.pop(grant_id, None)
+
+    def get_wait(self, tokens: float) -> float:
+        """Return seconds until that many tokens have accrued."""
+        missing = tokens - self._level
+        blocked = max(0.0, self._blocked_until - self._updated_at)
+        return blocked + max(0.0, missing) / self._rate if self._rate else math.inf
--- /dev/null
+++ b/primroseglade/rates/holder.py
@@ -0,0 +1,275 @@
+"""Holds the buckets of the partitions leased to this instance."""
+
+import asyncio
+import math
+import random
+from collections.abc import Callable
+
+from ..fleet.control import ControlClient, ControlServer, PeerError
+from ..fleet.members import Members
+from ..proto import control_pb2 as pb
+from .bucket import Bucket
+from .clock import read_clock
+from .lease import Candidate, get_partition, Lease, rank_candidates
+from .purse import Lot, Purse
+
+LOAN_TIMEOUT_SECONDS = 0.25
+# A lender keeps what its own zone is likely to want in this time.
+RESERVE_SECONDS = 0.2
+# Of what stands, one node gets at most this share at once, so that the next finds some.
+LARGEST_SHARE = 0.5
+DEMAND_SMOOTHING_SECONDS = 0.5
+LONGEST_RETRY_SECONDS = 5.0
+SHORTEST_RETRY_SECONDS = 0.05
+
+
+class Demand:
+    """How many tokens a second are asked for, forgetting slowly."""
+
+    __slots__ = ("_at", "_rate")
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._at = read_clock()
+
+    def note(self, tokens: float) -> None:
+        """Count tokens asked for now."""
+        self._rate = self.read() + tokens / DEMAND_SMOOTHING_SECONDS
+
+    def read(self) -> float:
+        """Return tokens a second as of now."""
+        now = read_clock()
+        self._rate *= math.exp((self._at - now) / DEMAND_SMOOTHING_SECONDS)
+        self._at = now
+        return self._rate
+
+
+class Account:
+    """One workspace's tokens in this zone: the bucket, and what others lent."""
+
+    __slots__ = ("borrowed", "borrowing", "bucket", "demand")
+
+    def __init__(self, bucket: Bucket):
+        self.bucket = bucket
+        self.borrowed = Purse()
+        self.demand = Demand()
+        self.borrowing: asyncio.Task[None] | None = None
+
+
+class Entitlement:
+    """A workspace's rate and burst in one zone."""
+
+    __slots__ = ("burst", "rate")
+
+    def __init__(self, rate: float, burst: float):
+        self.rate = rate
+        self.burst = burst
+
+
+class Holder:
+    """Grants tokens to the zone's nodes and lends them to other zones' holders.
+
+    Args:
+        members: Where holders are.
+        candidate: Knows which leases are held.
+        client: Asks other zones' holders.
+        get_entitlement: Returns a workspace's rate here, None where it has none.
+        life: Seconds that granted tokens may be spent in.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        candidate: Candidate,
+        client: ControlClient,
+        get_entitlement: Callable[[str], Entitlement | None],
+        life: float,
+    ):
+        self._members = members
+        self._candidate = candidate
+        self._client = client
+        self._get_entitlement = get_entitlement
+        self._life = life
+        self._accounts: dict[str, Account] = {}
+
+    def register(self, server: ControlServer) -> None:
+        """Answer nodes and other holders."""
+        server.register("Grant", self._answer_grant)
+        server.register("Loan", self._answer_loan)
+
+    def start_lease(self, lease: Lease) -> None:
+        """Begin a partition anew: nothing stands, and a predecessor's may be out."""
+        for workspace in list(self._accounts):
+            if get_partition(workspace) == lease.partition:
+                del self._accounts[workspace]
+
+    def apply_entitlements(self) -> None:
+        """Take the document's rates over into the buckets."""
+        now = read_clock()
+        for workspace, account in list(self._accounts.items()):
+            entitlement = self._get_entitlement(workspace)
+            if entitlement is None:
+                del self._accounts[workspace]
+            else:
+                account.bucket.change(entitlement.rate, entitlement.burst, now)
+
+    async def grant(self, request: pb.GrantRequest) -> pb.GrantReply:
+        """Grant tokens, own ones first and then lent ones."""
+        account = self._find_account(request.workspace)
+        if account is None:
+            return pb.GrantReply(holder=False)
+        now = read_clock()
+        for grant_id in request.spent:
+            account.bucket.settle(grant_id, now)
+        account.demand.note(request.wanted)
+        reply = self._take(account, request.wanted)
+        if reply is None:
+            await self._borrow(request.workspace, account)
+            # The wait may have outlived the lease.
+            if self._find_account(request.workspace) is not account:
+                return pb.GrantReply(holder=False)
+            reply = self._take(account, request.wanted)
+        return reply or self._build_denial(account)
+
+    def describe(self) -> dict[str, dict[str, float]]:
+        """Return the accounts for the operator address."""
+        now = read_clock()
+        described = {}
+        for workspace, account in self._accounts.items():
+            if self._find_account(workspace) is None:
+                continue
+            account.bucket.accrue(now)
+            described[workspace] = {
+                "level": round(account.bucket.level, 3),
+                "out": round(account.bucket.out, 3),
+                "borrowed": round(account.borrowed.count(now), 3),
+                "rate": account.bucket.rate,
+                "demand": round(account.demand.read(), 3),
+            }
+        return described
+
+    async def _answer_grant(self, request: pb.GrantRequest, _: str) -> pb.GrantReply:
+        return await self.grant(request)
+
+    async def _answer_loan(self, request: pb.LoanRequest, _: str) -> pb.LoanReply:
+        account = self._find_account(request.workspace)
+        if account is None:
+            return pb.LoanReply()
+        now = read_clock()
+        account.bucket.accrue(now)
+        reserve = account.demand.read() * RESERVE_SECONDS
+        spare = min(request.wanted, account.bucket.level - reserve)
+        grant = account.bucket.grant(spare, self._life, now)
+        if grant is None:
+            return pb.LoanReply()
+        return pb.LoanReply(tokens=grant.tokens, life_ms=int(self._life * 1000))
+
+    def _take(self, account: Account, wanted: float) -> pb.GrantReply | None:
+        """Return a grant of whole tokens, or None where there is not one."""
+        now = read_clock()
+        bucket = account.bucket
+        bucket.accrue(now)
+        most = math.floor(min(wanted, max(1.0, bucket.level * LARGEST_SHARE)))
+        if bucket.level >= 1:
+            grant = bucket.grant(most, self._life, now)
+            assert grant is not None
+            return pb.GrantReply(
+                grant=grant.id,
+                tokens=grant.tokens,
+                life_ms=int(self._life * 1000),
+                holder=True,
+            )
+        return self._take_borrowed(account, wanted, now)
+
+    def _take_borrowed(
+        self, account: Account, wanted: float, now: float
+    ) -> pb.GrantReply | None:
+        """Pass lent tokens on, with fractions of the own bucket to make them whole."""
+        bucket = account.bucket
+        whole = math.floor(min(wanted, account.borrowed.count(now) + bucket.level))
+        if whole < 1:
+            return None
+        tokens = 0.0
+        ends_at = now + self._life
+        while tokens < whole:
+            lot = account.borrowed.take_oldest(now)
+            if lot is None:
+                break
+            part = min(lot.tokens, whole - tokens)
+            tokens += part
+            ends_at = min(ends_at, lot.expires_at)
+            if lot.tokens > part:
+                lot.tokens -= part
+                account.borrowed.add(lot)
+        if tokens < whole:
+            own = bucket.grant(whole - tokens, self._life, now)
+            tokens += own.tokens if own else 0.0
+        if tokens + 1e-6 < 1:
+            return None
+        life_ms = int((ends_at - now) * 1000)
+        return pb.GrantReply(tokens=whole, life_ms=life_ms, holder=True)
+
+    def _build_denial(self, account: Account) -> pb.GrantReply:
+        wait = account.bucket.get_wait(1.0)
+        wait = min(LONGEST_RETRY_SECONDS, max(SHORTEST_RETRY_SECONDS, wait))
+        return pb.GrantReply(holder=True, retry_after_ms=int(wait * 1000))
+
+    async def _borrow(self, workspace: str, account: Account) -> None:
+        """Ask other zones, once for all who wait."""
+        if account.borrowing is None or account.borrowing.done():
+            account.borrowing = asyncio.create_task(
+                self._ask_for_loans(workspace, account)
+            )
+        await asyncio.shield(account.borrowing)
+
+    async def _ask_for_loans(self, workspace: str, account: Account) -> None:
+        own_zone = self._members.own.zone
+        zones = {m.zone for m in self._members.get_reachable()} - {own_zone}
+        # A little ahead of demand, so that the next call need not wait for a loan.
+        wanted = max(1.0, account.demand.read() * self._life / 4)
+        request = pb.LoanRequest(workspace=workspace, wanted=wanted)
+        asked = [self._ask_zone(zone, request) for zone in _shuffle(zones)]
+        for lot in await asyncio.gather(*asked):
+            if lot is not None:
+                account.borrowed.add(lot)
+
+    async def _ask_zone(self, zone: str, request: pb.LoanRequest) -> Lot | None:
+        names = rank_candidates(self._members, zone, get_partition(request.workspace))
+        member = self._members.get(names[0]) if names else None
+        if member is None:
+            return None
+        sent_at = read_clock()
+        try:
+            reply = await self._client.call(
+                member.control, "Loan", request, LOAN_TIMEOUT_SECONDS, member.instance
+            )
+        except PeerError:
+            # Tokens in a lost answer are gone; the lender wrote them off.
+            return None
+        # Counted from before the question: they end here before the lender takes
+        # them for ended.
+        expires_at = sent_at + reply.life_ms / 1000
+        return Lot(0, reply.tokens, expires_at) if reply.tokens > 0 else None
+
+    def _find_account(self, workspace: str) -> Account | None:
+        """Return the account, if its partition is held here at this moment."""
+        lease = self._candidate.find_lease(get_partition(workspace))
+        entitlement = self._get_entitlement(workspace)
+        if lease is None or entitlement is None:
+            return None
+        account = self._accounts.get(workspace)
+        if account is None:
+            # A predecessor's tokens may be spent until its last grant's end, which
+            # is not later than one life after this lease began.
+            blocked_until = lease.taken_at + self._life
+            bucket = Bucket(
+                entitlement.rate, entitlement.burst, lease.taken_at, blocked_until
+            )
+            account = self._accounts[workspace] = Account(bucket)
+        return account
+
+
+def _shuffle(zones: set[str]) -> list[str]:
+    names = sorted(zones)
+    random.shuffle(names)
+    return names
--- /dev/null
+++ b/primroseglade/rates/lease.py
@@ -0,0 +1,315 @@
+"""Leases on partitions of workspaces: at most one holder a zone, without the log.
+
+Five electors a partition, named by rendezvous hashing, each vote for one candidate at
+a time and for a lease's length. A holder needs four of them (fewer in a small zone),
+so two sets of electors that differ by up to two members, as nodes with different
+views may see them, still share a voter.
+"""
+
+import asyncio
+import random
+import zlib
+from collections.abc import Callable
+
+from ..fleet.control import ControlClient, ControlServer, PeerError
+from ..fleet.hashing import rank
+from ..fleet.members import Members
+from ..observe.events import Journal, LEASE_LOST, LEASE_TAKEN
+from ..observe.metrics import Metrics
+from ..proto import control_pb2 as pb
+from .clock import read_clock
+
+PARTITIONS = 64
+ELECTORS = 5
+VOTE_TIMEOUT_SECONDS = 0.5
+RENEWALS_A_LEASE = 3
+
+
+def get_partition(workspace: str) -> int:
+    """Return the partition that a workspace's tokens are in."""
+    return zlib.crc32(workspace.encode()) % PARTITIONS
+
+
+def count_quorum(electors: int) -> int:
+    """Return how many electors' votes make a holder.
+
+    >>> [count_quorum(electors) for electors in (1, 2, 3, 4, 5)]
+    [1, 2, 2, 3, 4]
+    """
+    return electors // 2 + 1 if electors < ELECTORS else ELECTORS - 1
+
+
+def rank_candidates(members: Members, zone: str, partition: int) -> list[str]:
+    """Return the zone's instances, the one that should hold the partition first."""
+    names = [member.instance for member in members.get_reachable(zone)]
+    return rank(f"rates/{zone}/{partition}", names, ELECTORS)
+
+
+def hash_electors(electors: list[str]) -> int:
+    """Return a hash of the electors' names, in any order."""
+    return zlib.crc32("|".join(sorted(electors)).encode())
+
+
+class Lease:
+    """A partition held until a time on this instance's clock."""
+
+    __slots__ = ("epoch", "expires_at", "partition", "taken_at")
+
+    def __init__(self, partition: int, epoch: int, taken_at: float, expires_at: float):
+        self.partition = partition
+        self.epoch = epoch
+        self.taken_at = taken_at
+        self.expires_at = expires_at
+
+
+class GivenVote:
+    """Whom an elector has voted for, and until when."""
+
+    __slots__ = ("candidate", "epoch", "expires_at")
+
+    def __init__(self, candidate: str, epoch: int, expires_at: float):
+        self.candidate = candidate
+        self.epoch = epoch
+        self.expires_at = expires_at
+
+
+class Elector:
+    """Votes, for one candidate a partition at a time.
+
+    Args:
+        members: Whom there is to vote for, and who else votes.
+        lease: Seconds that a vote lasts.
+        clock: Seconds.
+    """
+
+    def __init__(
+        self, members: Members, lease: float, clock: Callable[[], float] = read_clock
+    ):
+        self._members = members
+        self._lease = lease
+        self._clock = clock
+        # A process that has just started may be an elector that voted, died and
+        # forgot: until that vote is surely over it gives none.
+        self._abstains_until = clock() + lease
+        self._votes: dict[int, GivenVote] = {}
+
+    def register(self, server: ControlServer) -> None:
+        """Answer candidates."""
+        server.register("Vote", self._answer)
+
+    def vote(self, zone: str, ballot: pb.Ballot, candidate: str) -> pb.Vote:
+        """Vote on one partition."""
+        known = self._votes.get(ballot.partition)
+        epoch = max(ballot.epoch, known.epoch if known else 0)
+        granted = self._may_vote(zone, ballot, candidate, known)
+        if granted:
+            expires_at = self._clock() + self._lease
+            self._votes[ballot.partition] = GivenVote(candidate, epoch, expires_at)
+        return pb.Vote(partition=ballot.partition, granted=granted, epoch=epoch)
+
+    def release(self, partition: int, candidate: str) -> None:
+        """End a vote early: the candidate gave its lease up."""
+        known = self._votes.get(partition)
+        if known is not None and known.candidate == candidate:
+            known.expires_at = self._clock()
+
+    def _may_vote(
+        self, zone: str, ballot: pb.Ballot, candidate: str, known: GivenVote | None
+    ) -> bool:
+        now = self._clock()
+        own = self._members.own
+        if now < self._abstains_until or zone != own.zone:
+            return False
+        if known is not None:
+            bound = known.candidate != candidate and known.expires_at > now
+            if bound or ballot.epoch < known.epoch:
+                return False
+        # A part of the zone that is cut off from the rest counts the others as dead
+        # and would name electors among its own members: only the larger part votes.
+        reachable, whole = self._members.count_electorate(zone)
+        if 2 * reachable <= whole and whole > 1:
+            return False
+        electors = rank_candidates(self._members, zone, ballot.partition)
+        if own.instance not in electors:
+            return False
+        return hash_electors(electors) == ballot.electors
+
+    async def _answer(self, request: pb.VoteRequest, sender: str) -> pb.VoteReply:
+        for partition in request.released:
+            self.release(partition, sender)
+        votes = [
+            self.vote(request.zone, ballot, sender) for ballot in request.ballots
+        ]
+        return pb.VoteReply(votes=votes)
+
+
+class Candidate:
+    """Takes and keeps leases on the partitions that are this instance's to hold.
+
+    Args:
+        members: The zone's nodes.
+        elector: This instance's own vote.
+        client: Asks other electors.
+        get_partitions: Returns the partitions that any workspace is in.
+        on_taken: Called with a lease when it was taken anew.
+        lease: Seconds that a lease lasts.
+        journal: Told of leases.
+        metrics: Counts them.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        elector: Elector,
+        client: ControlClient,
+        get_partitions: Callable[[], set[int]],
+        on_taken: Callable[[Lease], None],
+        lease: float,
+        journal: Journal,
+        metrics: Metrics,
+    ):
+        self._members = members
+        self._elector = elector
+        self._client = client
+        self._get_partitions = get_partitions
+        self._on_taken = on_taken
+        self._lease = lease
+        self._journal = journal
+        self._metrics = metrics
+        self._leases: dict[int, Lease] = {}
+        self._epochs: dict[int, int] = {}
+        self._given_up = False
+
+    @property
+    def leases(self) -> dict[int, Lease]:
+        """Leases by partition, lapsed ones too until they are renewed or dropped."""
+        return self._leases
+
+    def find_lease(self, partition: int) -> Lease | None:
+        """Return the lease, if it is held at this moment.
+
+        To be asked before every grant and after every wait: the process may have
+        been paused for longer than the lease in between.
+        """
+        lease = self._leases.get(partition)
+        if lease is None or lease.expires_at <= read_clock():
+            return None
+        return lease
+
+    async def run(self) -> None:
+        """Renew leases, and take those that fall to this instance."""
+        while True:
+            await self._campaign()
+            pause = self._lease / RENEWALS_A_LEASE
+            await asyncio.sleep(pause * random.uniform(0.7, 1.0))
+
+    async def give_up(self) -> None:
+        """Give every lease up, so that successors need not wait for its end."""
+        self._given_up = True
+        await self._release(list(self._leases))
+
+    async def _release(self, partitions: list[int]) -> None:
+        """Drop leases first, and only then let electors vote for another."""
+        if not partitions:
+            return
+        zone = self._members.own.zone
+        electors: set[str] = set()
+        for partition in partitions:
+            lease = self._leases.pop(partition)
+            self._journal.emit(LEASE_LOST, partition=partition, epoch=lease.epoch)
+            self._elector.release(partition, self._members.own.instance)
+            electors.update(rank_candidates(self._members, zone, partition))
+        request = pb.VoteRequest(zone=zone, released=partitions)
+        await asyncio.gather(*(self._send(name, request) for name in electors))
+
+    async def _campaign(self) -> None:
+        self._drop_lapsed()
+        if self._given_up:
+            return
+        zone = self._members.own.zone
+        others_turn = [
+            partition
+            for partition in self._leases
+            if rank_candidates(self._members, zone, partition)[:1]
+            != [self._members.own.instance]
+        ]
+        await self._release(others_turn)
+        ballots: dict[int, tuple[pb.Ballot, list[str]]] = {}
+        for partition in self._get_partitions():
+            electors = rank_candidates(self._members, zone, partition)
+            if not electors or electors[0] != self._members.own.instance:
+                continue
+            lease = self.find_lease(partition)
+            epoch = lease.epoch if lease else self._epochs.get(partition, 0) + 1
+            ballot = pb.Ballot(
+                partition=partition, epoch=epoch, electors=hash_electors(electors)
+            )
+            ballots[partition] = (ballot, electors)
+        sent_at = read_clock()
+        granted = await self._collect(zone, ballots)
+        for partition, (ballot, electors) in ballots.items():
+            if granted.get(partition, 0) >= count_quorum(len(electors)):
+                self._hold(partition, ballot.epoch, sent_at)
+        self._metrics.leases.set(len(self._leases))
+
+    async def _collect(
+        self, zone: str, ballots: dict[int, tuple[pb.Ballot, list[str]]]
+    ) -> dict[int, int]:
+        """Ask every elector once, for all partitions, and count the votes."""
+        by_elector: dict[str, list[pb.Ballot]] = {}
+        for ballot, electors in ballots.values():
+            for name in electors:
+                by_elector.setdefault(name, []).append(ballot)
+        replies = await asyncio.gather(
+            *(self._ask(zone, name, asked) for name, asked in by_elector.items())
+        )
+        granted: dict[int, int] = {}
+        for votes in replies:
+            for vote in votes:
+                known = self._epochs.get(vote.partition, 0)
+                self._epochs[vote.partition] = max(known, vote.epoch)
+                if vote.granted:
+                    granted[vote.partition] = granted.get(vote.partition, 0) + 1
+        return granted
+
+    async def _ask(
+        self, zone: str, elector: str, ballots: list[pb.Ballot]
+    ) -> list[pb.Vote]:
+        own = self._members.own.instance
+        if elector == own:
+            return [self._elector.vote(zone, ballot, own) for ballot in ballots]
+        return await self._send(elector, pb.VoteRequest(zone=zone, ballots=ballots))
+
+    async def _send(self, elector: str, request: pb.VoteRequest) -> list[pb.Vote]:
+        member = self._members.get(elector)
+        if member is None or elector == self._members.own.instance:
+            return []
+        try:
+            reply = await self._client.call(
+                member.control, "Vote", request, VOTE_TIMEOUT_SECONDS, elector
+            )
+        except PeerError:
+            return []
+        return list(reply.votes)
+
+    def _hold(self, partition: int, epoch: int, sent_at: float) -> None:
+        # Counted from before the question, so that it ends here before it ends at
+        # any elector.
+        expires_at = sent_at + self._lease
+        if expires_at <= read_clock():
+            return
+        lease = self._leases.get(partition)
+        if lease is not None and lease.epoch == epoch:
+            lease.expires_at = expires_at
+            return
+        lease = Lease(partition, epoch, read_clock(), expires_at)
+        self._leases[partition] = lease
+        self._journal.emit(LEASE_TAKEN, partition=partition, epoch=epoch)
+        self._on_taken(lease)
+
+    def _drop_lapsed(self) -> None:
+        now = read_clock()
+        for partition, lease in list(self._leases.items()):
+            if lease.expires_at <= now:
+                del self._leases[partition]
+                self._journal.emit(LEASE_LOST, partition=partition, epoch=lease.epoch)
--- /dev/null
+++ b/primroseglade/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and documents: JSON with comments, checked on load."""
--- /dev/null
+++ b/primroseglade/stand_ins/backend.py
@@ -0,0 +1,294 @@
+"""Stand-in for a backend server, with slots, drain, shedding and faults on demand."""
+
+import asyncio
+import collections
+import json
+import random
+import time
+from typing import Any
+
+import aiohttp
+
+from ..listener import Listener
+
+ANNOUNCE_SECONDS = 1.0
+JSON_TYPE = (b"content-type", b"application/json")
+NOT_RUN = (b"primroseglade-verdict", b"not run")
+
+
+class Behaviour:
+    """What the backend server does, changed at any time.
+
+    Args:
+        work: Seconds of work a call.
+        spread: Share by which work varies around that.
+        slots: Calls at work at once; more wait inside.
+        shed_over: Waiting calls over which it refuses before it starts, or None.
+        cold_seconds: For this long after the start work takes ``cold_factor`` as long.
+        cold_factor: See above.
+        answer_bytes: Size of an answer's body.
+        cut_answers: How many of the next answers break off in the middle.
+        swallow: Take calls and never answer.
+        nested: Paths of calls that each call makes first, such as ``/archive/x``.
+        announced_slots: What it says its slots are, where that is not the truth.
+    """
+
+    def __init__(
+        self,
+        work: float = 0.005,
+        spread: float = 0.2,
+        slots: int = 20,
+        shed_over: int | None = None,
+        cold_seconds: float = 0.0,
+        cold_factor: float = 5.0,
+        answer_bytes: int = 200,
+        nested: tuple[str, ...] = (),
+        announced_slots: int | None = None,
+    ):
+        self.work = work
+        self.spread = spread
+        self.slots = slots
+        self.shed_over = shed_over
+        self.cold_seconds = cold_seconds
+        self.cold_factor = cold_factor
+        self.answer_bytes = answer_bytes
+        self.cut_answers = 0
+        self.swallow = False
+        self.nested = nested
+        self.announced_slots = announced_slots
+
+
+class Seen:
+    """One call that the backend server started."""
+
+    __slots__ = ("at", "cancelled", "finished", "headers", "operation", "target")
+
+    def __init__(self, target: str, headers: dict[str, str]):
+        self.at = time.monotonic()
+        self.target = target
+        self.headers = headers
+        self.operation = headers.get("x-operation", "")
+        self.finished = False
+        self.cancelled = False
+
+    @property
+    def workspace(self) -> str:
+        """For whom the node says it is."""
+        return self.headers.get("primroseglade-workspace", "")
+
+
+class BackendStandIn:
+    """A backend server of one service.
+
+    Args:
+        service: What it serves.
+        node: ``IP:PORT`` of its node's backend listener, or empty for none.
+        behaviour: What it does.
+        address: ``IP:PORT`` to listen on.
+        connections: What it announces to take.
+        seed: Of its variations.
+        seen_kept: How many calls it remembers; None for all.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        node: str = "",
+        behaviour: Behaviour | None = None,
+        address: str = "127.0.0.1:0",
+        connections: int = 100,
+        seed: int = 0,
+        seen_kept: int | None = None,
+    ):
+        self.service = service
+        self.behaviour = behaviour or Behaviour()
+        self.seen: collections.deque[Seen] = collections.deque(maxlen=seen_kept)
+        self.draining = False
+        self.at_work = 0
+        self.waiting = 0
+        self._node = node
+        self._connections = connections
+        self._random = random.Random(seed)
+        self._started_at = time.monotonic()
+        self._turn = asyncio.Condition()
+        self._listener = Listener(self._handle, address)
+        self._session: aiohttp.ClientSession | None = None
+        self._stopping = asyncio.Event()
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT`` that it listens on."""
+        return self._listener.address
+
+    async def run(self) -> None:
+        """Serve and announce until stopped."""
+        timeout = aiohttp.ClientTimeout(total=30)
+        self._session = aiohttp.ClientSession(timeout=timeout)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._listener.run())
+                if self._node:
+                    group.create_task(self._keep_announcing())
+        finally:
+            await self._session.close()
+
+    async def wait_started(self) -> None:
+        """Wait until it accepts connections."""
+        await self._listener.wait_started()
+
+    async def drain(self) -> None:
+        """Ask for no new calls."""
+        self.draining = True
+        await self.announce()
+
+    def stop(self) -> None:
+        """Finish calls at work and go."""
+        self._stopping.set()
+        self._listener.stop(5)
+
+    def kill(self) -> None:
+        """Go at once."""
+        self._stopping.set()
+        self._listener.abort()
+
+    async def announce(self) -> bool:
+        """Announce once; whether the node took it."""
+        assert self._session is not None
+        fields = {
+            "service": self.service,
+            "address": self.address,
+            "slots": self.behaviour.announced_slots or self.behaviour.slots,
+            "connections": self._connections,
+            "draining": self.draining,
+        }
+        url = f"http://{self._node}/-/backend-server"
+        try:
+            async with self._session.put(url, json=fields) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, asyncio.TimeoutError):
+            return False
+
+    async def _keep_announcing(self) -> None:
+        while not self._stopping.is_set():
+            taken = await self.announce()
+            pause = ANNOUNCE_SECONDS if taken else 0.1
+            try:
+                await asyncio.wait_for(self._stopping.wait(), pause)
+            except asyncio.TimeoutError:
+                continue
+
+    async def _handle(self, scope: Any, receive: Any, send: Any) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        scope["on_disconnect"] = task.cancel
+        target = scope["raw_path"].decode("latin-1")
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        body = await _read_all(receive)
+        refusal = self._refuse()
+        if refusal is not None:
+            await _send_json(send, 503, {"error": refusal}, [NOT_RUN])
+            return
+        seen = Seen(target, headers)
+        self.seen.append(seen)
+        try:
+            await self._work(headers)
+        except asyncio.CancelledError:
+            seen.cancelled = True
+            return
+        except (_NestedError, aiohttp.ClientError, asyncio.TimeoutError) as error:
+            seen.finished = True
+            await _send_json(send, 500, {"error": f"a nested call failed: {error}"})
+            return
+        seen.finished = True
+        await self._answer(scope, send, seen, body)
+
+    def _refuse(self) -> str | None:
+        if self.draining:
+            return "draining"
+        bound = self.behaviour.shed_over
+        if bound is not None and self.waiting >= bound:
+            return "overloaded"
+        return None
+
+    async def _work(self, headers: dict[str, str]) -> None:
+        self.waiting += 1
+        try:
+            async with self._turn:
+                await self._turn.wait_for(lambda: self.at_work < self.behaviour.slots)
+                self.at_work += 1
+        finally:
+            self.waiting -= 1
+        try:
+            while self.behaviour.swallow:
+                await asyncio.sleep(0.05)
+            for path in self.behaviour.nested:
+                await self._call_onward(path, headers)
+            await asyncio.sleep(self._draw_work())
+        finally:
+            self.at_work -= 1
+            async with self._turn:
+                self._turn.notify()
+
+    def _draw_work(self) -> float:
+        behaviour = self.behaviour
+        factor = 1 + self._random.uniform(-behaviour.spread, behaviour.spread)
+        if time.monotonic() - self._started_at < behaviour.cold_seconds:
+            factor *= behaviour.cold_factor
+        return behaviour.work * factor
+
+    async def _call_onward(self, path: str, headers: dict[str, str]) -> None:
+        assert self._session is not None
+        passed = {
+            name: headers[name]
+            for name in ("primroseglade-call", "traceparent")
+            if name in headers
+        }
+        url = f"http://{self._node}{path}"
+        async with self._session.get(url, headers=passed) as response:
+            await response.read()
+            if response.status >= 500:
+                raise _NestedError(response.status)
+
+    async def _answer(self, scope: Any, send: Any, seen: Seen, body: bytes) -> None:
+        head = {
+            "service": self.service,
+            "target": seen.target,
+            "workspace": seen.workspace,
+            "echo": seen.headers.get("x-echo", ""),
+            "received": len(body),
+        }
+        text = json.dumps(head).encode()
+        text += b" " * max(0, self.behaviour.answer_bytes - len(text))
+        headers = [JSON_TYPE, (b"content-length", b"%d" % len(text))]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        if self.behaviour.cut_answers > 0:
+            self.behaviour.cut_answers -= 1
+            half = text[: len(text) // 2]
+            await send({"type": "http.response.body", "body": half, "more_body": True})
+            scope["cut_connection"]()
+            return
+        await send({"type": "http.response.body", "body": text})
+
+
+class _NestedError(Exception):
+    """A call further on failed."""
+
+
+async def _read_all(receive: Any) -> bytes:
+    chunks = []
+    more = True
+    while more:
+        message = await receive()
+        chunks.append(message.get("body", b""))
+        more = message.get("more_body", False)
+    return b"".join(chunks)
+
+
+async def _send_json(send: Any, status: int, value: Any, added: Any = ()) -> None:
+    body = json.dumps(value).encode()
+    headers = [JSON_TYPE, (b"content-length", b"%d" % len(body)), *added]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/primroseglade/stand_ins/log.py
@@ -0,0 +1,188 @@
+"""Stand-in for the platform's log service, in memory, with faults on demand."""
+
+import asyncio
+import json
+from typing import Any
+
+from blacksheep import Application, Content, Request, Response
+
+from ..listener import as_handler, build_application, Listener
+from ..platform.log import CONTENT_TYPE, OFFSET_OUT_OF_RANGE
+
+LONGEST_WAIT_SECONDS = 30.0
+
+
+class LogFaults:
+    """What is wrong with the log at the moment.
+
+    Args:
+        outage: Refuse every request.
+        delay: Seconds added to every request.
+        lose_answers: How many of the next appends take effect unanswered.
+    """
+
+    __slots__ = ("delay", "lose_answers", "outage")
+
+    def __init__(self, outage: bool = False, delay: float = 0.0, lose_answers: int = 0):
+        self.outage = outage
+        self.delay = delay
+        self.lose_answers = lose_answers
+
+
+class Topic:
+    """Records from ``first`` on; older ones are forgotten."""
+
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[Any] = []
+        self.changed = asyncio.Condition()
+
+    @property
+    def end(self) -> int:
+        """Offset of the next append."""
+        return self.first + len(self.records)
+
+    def forget(self, keep: int) -> None:
+        """Keep the last ``keep`` records only."""
+        surplus = max(0, len(self.records) - keep)
+        del self.records[:surplus]
+        self.first += surplus
+
+
+class LogStandIn:
+    """The log service.
+
+    Args:
+        address: ``IP:PORT`` to listen on.
+        retention: How many records a topic keeps.
+    """
+
+    def __init__(self, address: str = "127.0.0.1:0", retention: int = 100_000):
+        self.faults = LogFaults()
+        self.appends = 0
+        self.reads = 0
+        self._retention = retention
+        self._topics: dict[str, Topic] = {}
+        self._listener = Listener(self._build_application(), address)
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT`` that it listens on."""
+        return self._listener.address
+
+    def get_topic(self, name: str) -> Topic:
+        """Return a topic, made at first use."""
+        return self._topics.setdefault(name, Topic())
+
+    async def append(self, name: str, value: Any) -> int:
+        """Append without going through the network."""
+        topic = self.get_topic(name)
+        async with topic.changed:
+            offset = topic.end
+            topic.records.append(value)
+            topic.forget(self._retention)
+            topic.changed.notify_all()
+        self.appends += 1
+        return offset
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        await self._listener.run()
+
+    async def wait_started(self) -> None:
+        """Wait until it accepts connections."""
+        await self._listener.wait_started()
+
+    def stop(self) -> None:
+        """Stop serving at once."""
+        self._listener.abort()
+
+    def _build_application(self) -> Application:
+        app = build_application()
+        records = "/topics/{name}/partitions/0/records"
+        offsets = "/topics/{name}/partitions/0/offsets"
+        app.router.add_post("/topics/{name}", as_handler(self._handle_append))
+        app.router.add_get(records, as_handler(self._handle_read))
+        app.router.add_get(offsets, as_handler(self._handle_offsets))
+        app.router.add_put("/faults", as_handler(self._handle_faults))
+        return app
+
+    async def _handle_faults(self, request: Request) -> Response:
+        fields = json.loads(await request.read() or b"{}")
+        self.faults = LogFaults(**fields)
+        return _answer(200, {})
+
+    async def _suffer(self) -> Response | None:
+        await asyncio.sleep(self.faults.delay)
+        if self.faults.outage:
+            return _answer(503, {"error_code": 503, "message": "unavailable"})
+        return None
+
+    async def _handle_append(self, request: Request) -> Response:
+        name = request.route_values["name"]
+        fault = await self._suffer()
+        if fault:
+            return fault
+        body = json.loads(await request.read())
+        offsets = []
+        for record in body["records"]:
+            offset = await self.append(name, record["value"])
+            offsets.append({"partition": 0, "offset": offset})
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return _answer(504, {"error_code": 504, "message": "answer lost"})
+        return _answer(200, {"offsets": offsets})
+
+    async def _handle_read(self, request: Request) -> Response:
+        self.reads += 1
+        fault = await self._suffer()
+        if fault:
+            return fault
+        topic = self.get_topic(request.route_values["name"])
+        query = {name: values[0] for name, values in request.query.items()}
+        offset = int(query["offset"])
+        wait = min(int(query.get("timeout", 0)) / 1000, LONGEST_WAIT_SECONDS)
+        if not topic.first <= offset <= topic.end:
+            problem = {"error_code": OFFSET_OUT_OF_RANGE, "message": "out of range"}
+            return _answer(404, problem)
+        await self._wait_for(topic, offset, wait)
+        fault = await self._suffer()
+        if fault:
+            return fault
+        start = max(0, offset - topic.first)
+        name = request.route_values["name"]
+        items = [
+            {
+                "topic": name,
+                "key": None,
+                "value": value,
+                "partition": 0,
+                "offset": topic.first + start + number,
+            }
+            for number, value in enumerate(topic.records[start : start + 500])
+        ]
+        return _answer(200, items)
+
+    async def _wait_for(self, topic: Topic, offset: int, wait: float) -> None:
+        async def wait_changed() -> None:
+            async with topic.changed:
+                await topic.changed.wait_for(lambda: topic.end > offset)
+
+        try:
+            await asyncio.wait_for(wait_changed(), wait)
+        except asyncio.TimeoutError:
+            return
+
+    async def _handle_offsets(self, request: Request) -> Response:
+        fault = await self._suffer()
+        if fault:
+            return fault
+        topic = self.get_topic(request.route_values["name"])
+        return _answer(
+            200, {"beginning_offset": topic.first, "end_offset": topic.end}
+        )
+
+
+def _answer(status: int, value: Any) -> Response:
+    body = Content(CONTENT_TYPE.encode(), json.dumps(value).encode())
+    return Response(status, content=body)
--- /dev/null
+++ b/primroseglade/supervisor.py
@@ -0,0 +1,100 @@
+"""A supervisor tree of asyncio tasks."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from .observe.events import Journal, TASK_FAILED, TASK_GIVEN_UP
+
+FIRST_DELAY_SECONDS = 0.05
+LONGEST_DELAY_SECONDS = 5.0
+# A child that lives this long has recovered: its next failure counts as a first.
+HEALTHY_SECONDS = 30.0
+FAILURES_IN_A_ROW = 20
+
+Work = Callable[[], Awaitable[None]]
+
+
+class Supervisor:
+    """Runs children, starts a failed one again, and ends them in reverse order.
+
+    A child that returns is done. One that raises is started again after a growing
+    delay; one that fails too often in a row brings its supervisor down, and with it
+    the process, which the platform then replaces.
+
+    Args:
+        name: Name of this branch of the tree.
+        journal: Where failures are told.
+    """
+
+    def __init__(self, name: str, journal: Journal):
+        self._name = name
+        self._journal = journal
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._failed: asyncio.Future[None] | None = None
+
+    @property
+    def children(self) -> list[str]:
+        """Names of the running children, oldest first."""
+        return list(self._tasks)
+
+    def start(self, name: str, work: Work) -> None:
+        """Start a child under a name that no running child has."""
+        if name in self._tasks:
+            raise ValueError(f"{self._name} runs {name} already")
+        task = asyncio.create_task(self._keep(name, work), name=f"{self._name}/{name}")
+        self._tasks[name] = task
+        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+
+    async def end(self, name: str) -> None:
+        """Cancel one child and wait until it is gone."""
+        task = self._tasks.get(name)
+        if task is not None:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    async def wait_failed(self) -> None:
+        """Wait until a child has failed too often, and raise its error."""
+        if self._failed is None:
+            self._failed = asyncio.get_running_loop().create_future()
+        await self._failed
+
+    async def close(self) -> None:
+        """End all children, the newest first."""
+        for name in reversed(self.children):
+            await self.end(name)
+
+    async def _keep(self, name: str, work: Work) -> None:
+        clock = asyncio.get_running_loop().time
+        failures = 0
+        while True:
+            started = clock()
+            try:
+                await work()
+                return
+            except Exception as error:
+                if clock() - started > HEALTHY_SECONDS:
+                    failures = 0
+                failures += 1
+                self._tell(name, error, failures)
+                if failures >= FAILURES_IN_A_ROW:
+                    self._give_up(name, error)
+                    return
+            longest = min(LONGEST_DELAY_SECONDS, FIRST_DELAY_SECONDS * 2**failures)
+            await asyncio.sleep(random.uniform(longest / 2, longest))
+
+    def _tell(self, name: str, error: Exception, failures: int) -> None:
+        self._journal.emit(
+            TASK_FAILED,
+            task=f"{self._name}/{name}",
+            error=f"{type(error).__name__}: {error}",
+            failures=failures,
+        )
+
+    def _give_up(self, name: str, error: Exception) -> None:
+        self._journal.emit(TASK_GIVEN_UP, task=f"{self._name}/{name}")
+        if self._failed is None:
+            self._failed = asyncio.get_running_loop().create_future()
+        if not self._failed.done():
+            group = ExceptionGroup(f"{self._name}/{name} failed too often", [error])
+            self._failed.set_exception(group)
