--- a/primroseglade/calls/backend.py
+++ b/primroseglade/calls/backend.py
@@ -18,7 +18,7 @@
 from ..observe.metrics import Metrics
 from ..settings.node import NodeSettings
 from ..verdicts import not_run, Reason, Refusal, Verdict
-from .call import Answer, Call, Context, InFlight
+from .call import Answer, Call, InFlight
 from .connections import build_head, Connection, iterate_until, Pool, Response
 from .handles import Handles, refuse_withdrawn
 from .headers import (
@@ -243,7 +243,7 @@
                 response.status, headers, None, response.length, stream, close
             )
             return answer, True
-        except asyncio.TimeoutError as error:
+        except TimeoutError as error:
             raise self._build_timeout(connection) from error
         finally:
             if not streams:
@@ -315,9 +315,7 @@
         in_flight = self._queue.in_flight
         self._queue.limit.note_served(now - started, in_flight, now)
 
-    def _finish(
-        self, connection: Connection | None, pool: Pool, handle: bytes
-    ) -> None:
+    def _finish(self, connection: Connection | None, pool: Pool, handle: bytes) -> None:
         if connection is not None:
             pool.release(connection)
         self._handles.withdraw(handle)
@@ -360,5 +358,3 @@
 
 def _refuse_draining() -> Refusal:
     return not_run(Reason.DRAINING, "takes no new calls", retry_after=1.0)
-
-
--- a/primroseglade/calls/connections.py
+++ b/primroseglade/calls/connections.py
@@ -12,6 +12,7 @@
 import httptools
 
 from ..addresses import parse_address
+from ..network import Network
 from ..verdicts import may_have_run, not_run, Reason, Refusal, Verdict
 from .call import Body, Context
 from .headers import Headers
@@ -304,11 +305,18 @@
         limit: Open connections at the most.
         connect_timeout: Seconds to open one.
         hold_bytes: Answers up to this size are waited for whole.
+        network: What can be reached.
     """
 
     def __init__(
-        self, address: str, limit: int, connect_timeout: float, hold_bytes: int
+        self,
+        address: str,
+        limit: int,
+        connect_timeout: float,
+        hold_bytes: int,
+        network: Network | None = None,
     ):
+        self._network = network or Network()
         self._address = address
         self._host, self._port = parse_address(address)
         self._limit = limit
@@ -334,6 +342,8 @@
         Raises:
             Refusal: ``not run``: none could be opened.
         """
+        if self._network.is_cut(self._address):
+            return await self._dial()
         connection = self._pop_idle()
         if connection is not None:
             return connection
@@ -379,7 +389,7 @@
                     return bool(await reader.read(1))
                 finally:
                     writer.transport.abort()
-        except (OSError, asyncio.TimeoutError):
+        except (TimeoutError, OSError):
             return False
 
     def _pop_idle(self) -> Connection | None:
@@ -402,11 +412,12 @@
     async def _dial(self) -> Connection:
         loop = asyncio.get_running_loop()
         try:
+            await self._network.pass_through(self._address, self._connect_timeout)
             async with asyncio.timeout(self._connect_timeout):
                 _, connection = await loop.create_connection(
                     lambda: Connection(self._hold_bytes), self._host, self._port
                 )
-        except (OSError, asyncio.TimeoutError) as error:
+        except (TimeoutError, OSError) as error:
             reason = str(error) or "timed out"
             detail = f"no connection to {self._address}: {reason}"
             raise Refusal(
@@ -428,7 +439,7 @@
         try:
             async with asyncio.timeout(context.remaining):
                 chunk = await anext(body, None)
-        except asyncio.TimeoutError as error:
+        except TimeoutError as error:
             detail = "the deadline passed in the middle of the answer"
             raise may_have_run(Reason.DEADLINE_EXCEEDED, detail) from error
         if chunk is None:
--- a/primroseglade/calls/entries.py
+++ b/primroseglade/calls/entries.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 from typing import Any, Protocol
 
 from ..document.document import digest_key, Document
@@ -133,9 +132,7 @@
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send):
         """Serve one request."""
         limits = self._tools.settings.limits
-        exchange = HttpExchange(
-            scope, receive, send, limits.body_buffer, limits.body
-        )
+        exchange = HttpExchange(scope, receive, send, limits.body_buffer, limits.body)
         task = asyncio.current_task()
         assert task is not None
         exchange.cancel_with(task)
@@ -326,9 +323,7 @@
             verdict = refusal.verdict
             raise
         finally:
-            await self._operations.finish(
-                name, workspace, operation, attempt, verdict
-            )
+            await self._operations.finish(name, workspace, operation, attempt, verdict)
         await self._send_answer(exchange, answer, progress)
 
     async def _dispatch(self, call: Call) -> Answer:
@@ -477,9 +472,7 @@
         path = target.partition(b"?")[0].decode("latin-1")
         service = progress.service
         document = self._tools.configuration.document
-        importance: Importance = document.get_importance(
-            service, exchange.method, path
-        )
+        importance: Importance = document.get_importance(service, exchange.method, path)
         idempotent = self._is_idempotent(exchange, service, path)
         context = descend(parent, idempotent, importance)
         span = self._tools.tracer.start(f"nested {service}", context.trace)
@@ -505,5 +498,3 @@
     if not text.isdecimal() or int(text) < 1:
         raise not_run(Reason.MALFORMED_REQUEST, f"{ATTEMPT.decode()} is not a number")
     return int(text)
-
-
--- a/primroseglade/calls/exchange.py
+++ b/primroseglade/calls/exchange.py
@@ -102,7 +102,8 @@
             size = int(length)
             if size > self._largest_body:
                 raise not_run(
-                    Reason.BODY_TOO_LARGE, f"the body is over {self._largest_body} bytes"
+                    Reason.BODY_TOO_LARGE,
+                    f"the body is over {self._largest_body} bytes",
                 )
             if size > self._body_buffer:
                 return Body(None, size, self._stream())
--- a/primroseglade/calls/relay.py
+++ b/primroseglade/calls/relay.py
@@ -5,6 +5,7 @@
 
 from ..answers import parse_refusal
 from ..fleet.members import Member
+from ..network import Network
 from ..settings.node import NodeSettings
 from ..verdicts import may_have_run, not_run, Reason, Refusal
 from .call import Answer, Call
@@ -28,9 +29,11 @@
     Args:
         settings: Limits and timeouts.
         seal: Authenticates contexts.
+        network: What can be reached.
     """
 
-    def __init__(self, settings: NodeSettings, seal: ContextSeal):
+    def __init__(self, settings: NodeSettings, seal: ContextSeal, network: Network):
+        self._network = network
         self._settings = settings
         self._seal = seal
         self._pools: dict[str, Pool] = {}
@@ -89,7 +92,7 @@
                 lambda: pool.release(kept),
             )
             return answer, load
-        except asyncio.TimeoutError as error:
+        except TimeoutError as error:
             detail = f"no answer of {member.instance} before the deadline"
             if not sent:
                 raise not_run(Reason.DEADLINE_EXCEEDED, detail) from error
@@ -135,6 +138,7 @@
                 self._settings.limits.peer_connections,
                 self._settings.timeouts.connect,
                 self._settings.limits.body_buffer,
+                self._network,
             )
         # The most recently used stands last.
         self._pools[address] = pool
--- /dev/null
+++ b/primroseglade/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: its definition, and what the commands do."""
--- /dev/null
+++ b/primroseglade/cli/config.py
@@ -0,0 +1,176 @@
+"""``primroseglade config``."""
+
+import argparse
+import json
+from typing import Any
+
+from ..document.checks import check_changes
+from ..document.document import Document
+from ..document.schema import flatten_document
+from ..environment import Environment
+from ..errors import RefusedError
+from ..exits import ExitStatus
+from ..operator_client import OperatorClient
+from ..platform.log import LogClient
+from ..publishing import build_edit, publish, Published, wait_everywhere
+from ..settings.reader import read_file
+from .commands import command
+
+
+def read_sections(path: str) -> dict[str, Any]:
+    """Read a document file and check it on its own.
+
+    Raises:
+        InputError: It does not say what a document must.
+    """
+    sections = flatten_document(read_file(path), path)
+    check_changes(Document(), dict(sections))
+    return sections
+
+
+@command("config check")
+async def check(options: argparse.Namespace, environment: Environment) -> ExitStatus:
+    """Check a document."""
+    sections = read_sections(options.document)
+    if options.json:
+        environment.print(json.dumps({"valid": True, "sections": sorted(sections)}))
+    else:
+        environment.print(f"{options.document}: {len(sections)} sections, all valid")
+    return ExitStatus.SUCCESS
+
+
+@command("config show")
+async def show(options: argparse.Namespace, environment: Environment) -> ExitStatus:
+    """Print the document in force."""
+    async with OperatorClient(options.node, options.token) as client:
+        view = await client.get("/document")
+    if options.json:
+        environment.print(json.dumps(view))
+        return ExitStatus.SUCCESS
+    environment.print(f"// as of offset {view['next_offset']}")
+    environment.print(json.dumps(_nest(view["sections"]), indent=2))
+    return ExitStatus.SUCCESS
+
+
+@command("config diff")
+async def diff(options: argparse.Namespace, environment: Environment) -> ExitStatus:
+    """Print which sections differ."""
+    wanted = read_sections(options.document)
+    async with OperatorClient(options.node, options.token) as client:
+        view = await client.get("/document")
+    standing = _get_standing(view["sections"])
+    changes = {
+        "added": sorted(set(wanted) - set(standing)),
+        "changed": sorted(
+            name
+            for name, value in wanted.items()
+            if name in standing and standing[name] != value
+        ),
+        "only in force": sorted(set(standing) - set(wanted)),
+    }
+    if options.json:
+        environment.print(json.dumps(changes))
+        return ExitStatus.SUCCESS
+    for kind, names in changes.items():
+        for name in names:
+            environment.print(f"{kind:<14}{name}")
+    if not any(changes.values()):
+        environment.print("the document is in force as it stands")
+    return ExitStatus.SUCCESS
+
+
+@command("config publish")
+async def publish_sections(
+    options: argparse.Namespace, environment: Environment
+) -> ExitStatus:
+    """Publish sections, wait for the verdict, and for all instances if asked."""
+    sections = read_sections(options.document)
+    if options.section:
+        missing = sorted(set(options.section) - set(sections))
+        if missing:
+            raise RefusedError(f"{options.document} has no section {missing[0]}")
+        sections = {name: sections[name] for name in options.section}
+    changes = sections | dict.fromkeys(options.remove)
+    log = LogClient(options.platform)
+    try:
+        async with OperatorClient(options.node, options.token) as client:
+            view = await client.get("/document")
+            edit = build_edit(changes, view, options.author, options.as_of)
+            if edit is None:
+                return _tell_unchanged(options, environment)
+            published = await publish(log, client, edit, options.wait)
+            if published.accepted and options.everywhere:
+                await wait_everywhere(client, published, options.wait)
+    finally:
+        await log.close()
+    return _tell_published(published, options, environment)
+
+
+@command("config status")
+async def show_status(
+    options: argparse.Namespace, environment: Environment
+) -> ExitStatus:
+    """Print who has confirmed."""
+    async with OperatorClient(options.node, options.token) as client:
+        view = await client.get("/confirmations")
+    if options.json:
+        environment.print(json.dumps(view))
+    else:
+        environment.print(f"next offset {view['next_offset']}")
+        environment.print(f"confirmed   {len(view['confirmed'])} instances")
+        for name in view["behind"]:
+            environment.print(f"behind      {name} at {view['offsets'][name]}")
+        for name in view["silent"]:
+            environment.print(f"silent      {name}: not known to have it")
+    return ExitStatus.SUCCESS if view["everywhere"] else ExitStatus.REFUSED
+
+
+def _tell_unchanged(
+    options: argparse.Namespace, environment: Environment
+) -> ExitStatus:
+    if options.json:
+        environment.print(json.dumps({"accepted": True, "sections": []}))
+    else:
+        environment.print("nothing to publish: the sections stand as they are")
+    return ExitStatus.SUCCESS
+
+
+def _tell_published(
+    published: Published, options: argparse.Namespace, environment: Environment
+) -> ExitStatus:
+    if options.json:
+        environment.print(json.dumps(published.to_dict()))
+    elif published.accepted:
+        names = ", ".join(published.sections)
+        environment.print(f"accepted at offset {published.offset}: {names}")
+        if options.everywhere:
+            environment.print(_describe_spread(published))
+    else:
+        environment.warn(f"primroseglade: refused: {published.reason}")
+    if not published.accepted:
+        return ExitStatus.REFUSED
+    missing = options.everywhere and not published.everywhere
+    return ExitStatus.REFUSED if missing else ExitStatus.SUCCESS
+
+
+def _describe_spread(published: Published) -> str:
+    if published.everywhere:
+        return f"in force on all {len(published.confirmed)} instances"
+    names = ", ".join([*published.behind, *published.silent])
+    return f"in force on {len(published.confirmed)} instances; not confirmed by {names}"
+
+
+def _get_standing(sections: dict[str, Any]) -> dict[str, Any]:
+    return {
+        name: section["value"]
+        for name, section in sections.items()
+        if section["value"] is not None
+    }
+
+
+def _nest(sections: dict[str, Any]) -> dict[str, Any]:
+    document: dict[str, Any] = {}
+    for section, value in sorted(_get_standing(sections).items()):
+        kind, _, name = section.partition("/")
+        document.setdefault(kind, {})[name] = value
+    return document
--- /dev/null
+++ b/primroseglade/cli/definition.py
@@ -0,0 +1,247 @@
+"""The command line as one definition: every command with its arguments."""
+
+import argparse
+from typing import Any
+
+from .. import __version__
+from ..exits import ExitStatus
+
+EXIT_TEXT = "exit status: " + ", ".join(
+    f"{status.value} {status.name.lower().replace('_', ' ')}" for status in ExitStatus
+)
+
+
+class Argument:
+    """One argument, as argparse takes it."""
+
+    __slots__ = ("flags", "options")
+
+    def __init__(self, *flags: str, **options: Any):
+        self.flags = flags
+        self.options = options
+
+
+class Command:
+    """One command.
+
+    Args:
+        name: Its words, such as ``config check``.
+        text: What it does.
+        arguments: What it takes.
+    """
+
+    __slots__ = ("arguments", "name", "text")
+
+    def __init__(self, name: str, text: str, *arguments: Argument):
+        self.name = name
+        self.text = text
+        self.arguments = arguments
+
+
+JSON = Argument(
+    "--json", action="store_true", help="print one JSON value for programs to read"
+)
+NODE = Argument(
+    "--node",
+    required=True,
+    metavar="IP:PORT",
+    help="operator address of any node",
+)
+TOKEN = Argument("--token", default="", help="operator token, where nodes ask for one")
+DOCUMENT = Argument("document", metavar="FILE", help="document, JSON with comments")
+DEPLOYMENT = Argument(
+    "--deployment",
+    choices=("split", "lagos"),
+    default="split",
+    help="whose services and zones (default: %(default)s)",
+)
+SECONDS = Argument(
+    "--seconds",
+    type=float,
+    default=20.0,
+    help="how long to run (default: %(default)s)",
+)
+SEED = Argument(
+    "--seed", type=int, default=1, help="of what is random (default: %(default)s)"
+)
+
+GROUPS = {
+    "config": "check, publish and follow the operators' document",
+    "stand-in": "small stand-ins for the outside systems",
+}
+
+COMMANDS = (
+    Command(
+        "node",
+        "run one node beside a backend server, until SIGTERM or SIGINT",
+        Argument(
+            "--settings",
+            required=True,
+            metavar="FILE",
+            help="settings, JSON with comments; see docs/SETTINGS.md",
+        ),
+    ),
+    Command("config check", "check a document without publishing it", DOCUMENT, JSON),
+    Command(
+        "config show",
+        "print the document in force, as a node has it",
+        NODE,
+        TOKEN,
+        JSON,
+    ),
+    Command(
+        "config diff",
+        "print which sections of a document differ from those in force",
+        DOCUMENT,
+        NODE,
+        TOKEN,
+        JSON,
+    ),
+    Command(
+        "config publish",
+        "publish sections of a document and wait for the verdict",
+        DOCUMENT,
+        NODE,
+        TOKEN,
+        Argument(
+            "--platform",
+            required=True,
+            metavar="IP:PORT",
+            help="the platform's log service",
+        ),
+        Argument("--author", required=True, help="name to publish under"),
+        Argument(
+            "--section",
+            action="append",
+            metavar="KIND/NAME",
+            help="publish only this section (may be given again)",
+        ),
+        Argument(
+            "--remove",
+            action="append",
+            default=[],
+            metavar="KIND/NAME",
+            help="take this section out (may be given again)",
+        ),
+        Argument(
+            "--as-of",
+            type=int,
+            metavar="OFFSET",
+            help="refuse if a section has changed since this offset of config show",
+        ),
+        Argument(
+            "--wait",
+            type=float,
+            default=10.0,
+            metavar="SECONDS",
+            help="for the verdict, and with --everywhere for all instances "
+            "(default: %(default)s)",
+        ),
+        Argument(
+            "--everywhere",
+            action="store_true",
+            help="wait until every instance has confirmed; name those that have not",
+        ),
+        JSON,
+    ),
+    Command(
+        "config status",
+        "print which instances have confirmed the configuration, and which have not",
+        NODE,
+        TOKEN,
+        JSON,
+    ),
+    Command("key", "make a new key and print it with its digest", JSON),
+    Command(
+        "demo",
+        "run a whole deployment in this process, with failures, and check its promises",
+        DEPLOYMENT,
+        SECONDS,
+        SEED,
+        JSON,
+    ),
+    Command(
+        "load",
+        "call a service at a fixed rate and report answers and latencies",
+        Argument(
+            "--nodes",
+            required=True,
+            metavar="IP:PORT,...",
+            help="callers' addresses of some nodes",
+        ),
+        Argument("--key", required=True, help="the workspace's key"),
+        Argument("--service", required=True, help="service to call"),
+        Argument("--path", default="/", help="path within it (default: %(default)s)"),
+        Argument("--method", default="GET", help="HTTP method (default: %(default)s)"),
+        Argument("--rate", type=float, default=50.0, help="calls a second"),
+        Argument("--timeout", type=float, default=2.0, help="seconds a call may take"),
+        SECONDS,
+        SEED,
+        JSON,
+    ),
+    Command(
+        "stand-in log",
+        "run a stand-in for the platform's log",
+        Argument("--listen", default="127.0.0.1:9092", metavar="IP:PORT"),
+        Argument(
+            "--retention", type=int, default=100_000, help="records that a topic keeps"
+        ),
+    ),
+    Command(
+        "stand-in backend",
+        "run a stand-in for a backend server, announced to its node",
+        Argument("--service", required=True, help="what it serves"),
+        Argument(
+            "--node",
+            required=True,
+            metavar="IP:PORT",
+            help="backend listener of its node",
+        ),
+        Argument("--listen", default="127.0.0.1:0", metavar="IP:PORT"),
+        Argument("--work", type=float, default=0.005, help="seconds of work a call"),
+        Argument("--slots", type=int, default=20, help="calls at work at once"),
+        Argument(
+            "--nested",
+            action="append",
+            default=[],
+            metavar="/SERVICE/PATH",
+            help="call this first, in each call (may be given again)",
+        ),
+    ),
+)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Build the parser; the chosen command's name is in ``command``."""
+    parser = argparse.ArgumentParser(
+        prog="primroseglade",
+        description="Overload control for service call graphs.",
+        epilog=EXIT_TEXT,
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    top = parser.add_subparsers(title="commands", metavar="COMMAND", required=True)
+    groups: dict[str, Any] = {}
+    for command in COMMANDS:
+        *group, name = command.name.split()
+        place = top
+        if group:
+            place = groups.get(group[0])
+            if place is None:
+                place = groups[group[0]] = _add_group(top, group[0])
+        _add_command(place, name, command)
+    return parser
+
+
+def _add_group(top: Any, name: str) -> Any:
+    text = GROUPS[name]
+    group = top.add_parser(name, help=text, description=text, epilog=EXIT_TEXT)
+    return group.add_subparsers(title="commands", metavar="COMMAND", required=True)
+
+
+def _add_command(place: Any, name: str, command: Command) -> None:
+    parser = place.add_parser(
+        name, help=command.text, description=command.text, epilog=EXIT_TEXT
+    )
+    for argument in command.arguments:
+        parser.add_argument(*argument.flags, **argument.options)
+    parser.set_defaults(command=command.name)
--- /dev/null
+++ b/primroseglade/cli/demo.py
@@ -0,0 +1,33 @@
+"""``primroseglade demo``."""
+
+import argparse
+import json
+import time
+
+from rich.console import Console
+
+from ..demo.deployments import DEPLOYMENTS
+from ..demo.run import Demo
+from ..environment import Environment
+from ..exits import ExitStatus
+from ..observe.events import EventHandler
+from .commands import command
+
+
+@command("demo")
+async def run_demo(options: argparse.Namespace, environment: Environment) -> ExitStatus:
+    """Run the demo and print its report."""
+    started = time.monotonic()
+    console = Console(file=environment.stderr, highlight=False)
+
+    def tell(text: str) -> None:
+        console.print(f"{time.monotonic() - started:6.1f} s  {text}", markup=False)
+
+    demo = Demo(DEPLOYMENTS[options.deployment], options.seconds, options.seed, tell)
+    with EventHandler(environment.stderr, "text").applicationbound():
+        report = await demo.run()
+    if options.json:
+        environment.print(json.dumps(report.to_dict()))
+    else:
+        environment.print("\n".join(report.to_lines()))
+    return ExitStatus.SUCCESS if report.kept else ExitStatus.BROKEN_PROMISE
--- /dev/null
+++ b/primroseglade/cli/load.py
@@ -0,0 +1,94 @@
+"""``primroseglade load``."""
+
+import argparse
+import asyncio
+import collections
+import json
+import random
+import time
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from ..client import Client
+from ..environment import Environment
+from ..exits import ExitStatus
+from ..verdicts import Refusal
+from .commands import command
+
+LONGEST_US = 60_000_000
+DIGITS = 3
+
+
+class Load:
+    """Calls at a fixed rate; a late start counts as latency of the call.
+
+    Args:
+        client: Sends them.
+        options: Of the command.
+    """
+
+    def __init__(self, client: Client, options: argparse.Namespace):
+        self._client = client
+        self._options = options
+        self._outcomes: collections.Counter[str] = collections.Counter()
+        self._histogram = HdrHistogram(1, LONGEST_US, DIGITS)
+
+    async def run(self) -> dict[str, Any]:
+        """Send all calls, wait for all answers, and return the report."""
+        options = self._options
+        rng = random.Random(options.seed)
+        started = due = time.monotonic()
+        tasks: set[asyncio.Task[None]] = set()
+        while due < started + options.seconds:
+            due += rng.expovariate(options.rate)
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            task = asyncio.create_task(self._call(due))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        if tasks:
+            await asyncio.wait(tasks)
+        return self._report(time.monotonic() - started)
+
+    async def _call(self, due: float) -> None:
+        options = self._options
+        try:
+            reply = await self._client.call(
+                options.service, options.path, options.method, timeout=options.timeout
+            )
+            outcome = str(reply.status)
+        except Refusal as refusal:
+            outcome = f"{refusal.reason.code} ({refusal.verdict.value})"
+        self._outcomes[outcome] += 1
+        # From when the call was due, not from when it left: a caller that falls
+        # behind must not make the service look quick.
+        self._histogram.record_value(max(1, int((time.monotonic() - due) * 1e6)))
+
+    def _report(self, seconds: float) -> dict[str, Any]:
+        percentiles = {
+            f"p{share:g}": self._histogram.get_value_at_percentile(share) / 1000
+            for share in (50, 90, 99, 99.9)
+        }
+        return {
+            "seconds": round(seconds, 3),
+            "calls": sum(self._outcomes.values()),
+            "outcomes": dict(self._outcomes.most_common()),
+            "latency_ms": percentiles,
+        }
+
+
+@command("load")
+async def run_load(options: argparse.Namespace, environment: Environment) -> ExitStatus:
+    """Send calls and report."""
+    nodes = options.nodes.split(",")
+    async with Client(nodes, options.key, options.timeout) as client:
+        report = await Load(client, options).run()
+    if options.json:
+        environment.print(json.dumps(report))
+        return ExitStatus.SUCCESS
+    environment.print(f"{report['calls']} calls in {report['seconds']:.1f} s")
+    for outcome, count in report["outcomes"].items():
+        environment.print(f"  {count:7d}  {outcome}")
+    for name, value in report["latency_ms"].items():
+        environment.print(f"  {name:<6} {value:8.2f} ms")
+    return ExitStatus.SUCCESS
--- /dev/null
+++ b/primroseglade/cli/node.py
@@ -0,0 +1,31 @@
+"""``primroseglade node``."""
+
+import argparse
+import asyncio
+import signal
+
+from ..environment import Environment
+from ..exits import ExitStatus
+from ..node import Node
+from ..observe.events import EventHandler
+from ..settings.node import load_node_settings
+from .commands import command
+
+
+@command("node")
+async def run_node(options: argparse.Namespace, environment: Environment) -> ExitStatus:
+    """Run a node until it is told to stop."""
+    settings = load_node_settings(options.settings)
+    stopping = build_stop_event()
+    with EventHandler(environment.stderr, settings.log.format).applicationbound():
+        await Node(settings).run(stopping)
+    return ExitStatus.SUCCESS
+
+
+def build_stop_event() -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    return stopping
--- /dev/null
+++ b/primroseglade/cli/stand_in.py
@@ -0,0 +1,48 @@
+"""``primroseglade stand-in``."""
+
+import argparse
+import asyncio
+
+from ..environment import Environment
+from ..exits import ExitStatus
+from ..stand_ins.backend import BackendStandIn, Behaviour
+from ..stand_ins.log import LogStandIn
+from .commands import command
+from .node import build_stop_event
+
+
+@command("stand-in log")
+async def run_log(options: argparse.Namespace, environment: Environment) -> ExitStatus:
+    """Run the log's stand-in until it is told to stop."""
+    log = LogStandIn(options.listen, options.retention)
+    environment.warn(f"log on {log.address}")
+    await _run_until_stopped(log)
+    return ExitStatus.SUCCESS
+
+
+@command("stand-in backend")
+async def run_backend(
+    options: argparse.Namespace, environment: Environment
+) -> ExitStatus:
+    """Run a backend server's stand-in until it is told to stop."""
+    behaviour = Behaviour(
+        work=options.work, slots=options.slots, nested=tuple(options.nested)
+    )
+    backend = BackendStandIn(
+        options.service, options.node, behaviour, options.listen, seen_kept=1000
+    )
+    environment.warn(f"{options.service} on {backend.address}")
+    await _run_until_stopped(backend)
+    return ExitStatus.SUCCESS
+
+
+async def _run_until_stopped(stand_in: LogStandIn | BackendStandIn) -> None:
+    stopping = build_stop_event()
+    running = asyncio.create_task(stand_in.run())
+    waiting = asyncio.create_task(stopping.wait())
+    await asyncio.wait({running, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    if isinstance(stand_in, BackendStandIn) and not running.done():
+        await stand_in.drain()
+    stand_in.stop()
+    waiting.cancel()
+    await running
--- a/primroseglade/client.py
+++ b/primroseglade/client.py
@@ -33,7 +33,9 @@
 
     __slots__ = ("attempts", "body", "headers", "status")
 
-    def __init__(self, status: int, headers: dict[str, str], body: bytes, attempts: int):
+    def __init__(
+        self, status: int, headers: dict[str, str], body: bytes, attempts: int
+    ):
         self.status = status
         self.headers = headers
         self.body = body
@@ -170,7 +172,7 @@
         except aiohttp.ClientConnectorError as error:
             self._avoided[node] = time.monotonic() + AVOIDED_SECONDS
             raise not_run(Reason.CONNECTION_LOST, str(error)) from error
-        except asyncio.TimeoutError as error:
+        except TimeoutError as error:
             detail = f"no whole answer of {node} in time"
             raise may_have_run(Reason.DEADLINE_EXCEEDED, detail) from error
         except aiohttp.ClientError as error:
@@ -204,7 +206,9 @@
         return random.choice(near or better or fresh or known)
 
     def _learn(self, service: str, headers: dict[str, str]) -> None:
-        told = [node for node in headers.get("primroseglade-nodes", "").split(",") if node]
+        told = [
+            node for node in headers.get("primroseglade-nodes", "").split(",") if node
+        ]
         if not told:
             return
         kept = [n for n in self._by_service.get(service, ()) if n not in told]
@@ -223,5 +227,3 @@
     pause = max(backoff, refusal.retry_after or 0.0)
     left = deadline - time.monotonic()
     return max(0.0, min(pause, left))
-
-
--- /dev/null
+++ b/primroseglade/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole deployment in one process, with failures, checked from outside."""
--- /dev/null
+++ b/primroseglade/demo/callers.py
@@ -0,0 +1,115 @@
+"""Open-loop callers: a call leaves when it is due, whatever became of others."""
+
+import asyncio
+import json
+import random
+
+from ..client import Client
+from ..stand_ins.fleet import EmbeddedFleet
+from ..verdicts import Refusal
+from .deployments import Deployment, get_key
+from .records import CallRecord
+
+TIMEOUT_SECONDS = 2.0
+# Uploads and issues are sent with POST, which must not run twice.
+POST_SHARE = 0.3
+GREEDY_FACTOR = 4.0
+
+
+class Callers:
+    """All workspaces' callers.
+
+    Args:
+        fleet: Whom they call.
+        deployment: Services and workspaces.
+        rate: Calls a second in all.
+        greedy: A workspace that sends several times its part, or empty.
+        seed: Of what is random.
+    """
+
+    def __init__(
+        self,
+        fleet: EmbeddedFleet,
+        deployment: Deployment,
+        rate: float,
+        greedy: str,
+        seed: int,
+    ):
+        self._fleet = fleet
+        self._deployment = deployment
+        self._rate = rate
+        self._greedy = greedy
+        self._random = random.Random(seed)
+        self._clients: dict[tuple[str, int], Client] = {}
+        self._running: set[asyncio.Task[None]] = set()
+        self._count = 0
+        self.records: list[CallRecord] = []
+
+    async def run(self, until: float) -> None:
+        """Send calls until a time on the loop's clock, and wait for their answers."""
+        clock = asyncio.get_running_loop().time
+        names = list(self._deployment.workspaces)
+        parts = [
+            part * (GREEDY_FACTOR if name == self._greedy else 1.0)
+            for name, part in self._deployment.workspaces.items()
+        ]
+        due = clock()
+        while due < until:
+            due += self._random.expovariate(self._rate * sum(parts))
+            await asyncio.sleep(max(0.0, due - clock()))
+            workspace = self._random.choices(names, parts)[0]
+            self._start(workspace)
+        if self._running:
+            await asyncio.wait(self._running)
+        for client in self._clients.values():
+            await client.close()
+
+    def _start(self, workspace: str) -> None:
+        services = self._deployment.services
+        parts = [size.part for size in services.values()]
+        service = self._random.choices(list(services), parts)[0]
+        method = "POST" if self._random.random() < POST_SHARE else "GET"
+        key = self._random.choice((1, 2))
+        self._count += 1
+        record = CallRecord(f"c{self._count}", workspace, key, service, method)
+        self.records.append(record)
+        task = asyncio.create_task(self._call(record))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    async def _call(self, record: CallRecord) -> None:
+        client = self._get_client(record.workspace, record.key)
+        headers = {"X-Echo": record.id, "X-Operation": record.id}
+        try:
+            reply = await client.call(
+                record.service,
+                f"/{record.id}",
+                record.method,
+                b"x" * 100 if record.method == "POST" else b"",
+                headers,
+                operation=record.id,
+            )
+        except Refusal as refusal:
+            record.note_refusal(refusal)
+            return
+        record.note_answer(reply.status, _is_whole(reply.body, record))
+
+    def _get_client(self, workspace: str, key: int) -> Client:
+        client = self._clients.get((workspace, key))
+        if client is None:
+            nodes = [place.callers for place in self._fleet.places]
+            client = Client(nodes, get_key(workspace, key), TIMEOUT_SECONDS)
+            self._clients[workspace, key] = client
+        return client
+
+
+def _is_whole(body: bytes, record: CallRecord) -> bool:
+    try:
+        fields = json.loads(body)
+    except ValueError:
+        return False
+    return (
+        fields.get("echo") == record.id
+        and fields.get("workspace") == record.workspace
+        and fields.get("service") == record.service
+    )
--- /dev/null
+++ b/primroseglade/demo/checks.py
@@ -0,0 +1,245 @@
+"""The brief's promises, checked from what callers and backend servers recorded."""
+
+import collections
+from collections.abc import Callable
+
+from ..stand_ins.backend import Seen
+from ..verdicts import Verdict
+from .deployments import Deployment, get_key
+from .records import CallRecord
+
+# From the accepted edit, or the wish to drain, to the last effect of the old state.
+SECONDS_TO_WITHDRAW = 3.0
+SECONDS_TO_DRAIN = 3.0
+LONGEST_CHAIN = 2
+# Share by which the critical class may be served less than another by chance alone.
+CHANCE = 0.02
+
+
+class Evidence:
+    """Everything recorded outside the nodes.
+
+    Args:
+        deployment: What ran.
+        calls: What callers saw.
+        seen: By backend server's address, what it started.
+        rates: Calls a second and burst, by workspace.
+        retry_tokens: Retries that a root call may cost.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        calls: list[CallRecord],
+        seen: dict[str, list[Seen]],
+        rates: dict[str, tuple[float, float]],
+        retry_tokens: int,
+    ):
+        self.deployment = deployment
+        self.calls = calls
+        self.seen = seen
+        self.rates = rates
+        self.retry_tokens = retry_tokens
+        self.withdrawn: tuple[str, int, float] | None = None
+        self.drained: tuple[str, float] | None = None
+        self.stop: tuple[float, float] | None = None
+        self.overload: tuple[float, float] | None = None
+
+    @property
+    def all_seen(self) -> list[Seen]:
+        """What all backend servers started."""
+        return [item for items in self.seen.values() for item in items]
+
+
+class Finding:
+    """A promise, how often it was looked at, and how often it was broken."""
+
+    __slots__ = ("broken", "checked", "promise")
+
+    def __init__(self, promise: str, checked: int, broken: int):
+        self.promise = promise
+        self.checked = checked
+        self.broken = broken
+
+    @property
+    def kept(self) -> bool:
+        """Whether it was never broken."""
+        return not self.broken
+
+
+Check = Callable[[Evidence], tuple[int, int]]
+_checks: dict[str, Check] = {}
+
+
+def promise(text: str) -> Callable[[Check], Check]:
+    """Register the check of a promise; it returns how many it looked at and broken."""
+
+    def register(check: Check) -> Check:
+        _checks[text] = check
+        return check
+
+    return register
+
+
+def check_promises(evidence: Evidence) -> list[Finding]:
+    """Check every promise."""
+    return [Finding(text, *check(evidence)) for text, check in _checks.items()]
+
+
+@promise("A request is retried a bounded number of times across the whole chain")
+def _check_retries(evidence: Evidence) -> tuple[int, int]:
+    starts = collections.Counter(
+        item.headers.get("traceparent", "")[3:35] for item in evidence.all_seen
+    )
+    bound = LONGEST_CHAIN * (1 + evidence.retry_tokens)
+    return len(starts), sum(count > bound for count in starts.values())
+
+
+@promise("Under overload the critical class is shed last")
+def _check_importance(evidence: Evidence) -> tuple[int, int]:
+    if evidence.overload is None:
+        return 0, 0
+    start, end = evidence.overload
+    served: dict[str, list[bool]] = collections.defaultdict(list)
+    for call in evidence.calls:
+        # What the rate refused was not shed.
+        if start <= call.sent < end and call.outcome != "rate-exceeded":
+            served[call.service].append(call.served)
+    shares = {name: sum(items) / len(items) for name, items in served.items()}
+    critical = evidence.deployment.critical_service
+    deep = evidence.deployment.deep_service
+    mine = shares.pop(critical, 1.0)
+    # Against the slowed service itself: others do not need it, and are not shed.
+    return len(served.get(critical, ())), int(mine + CHANCE < shares.get(deep, 0.0))
+
+
+@promise("A request runs only for the workspace whose key it carried")
+def _check_workspace(evidence: Evidence) -> tuple[int, int]:
+    owners = {call.id: call.workspace for call in evidence.calls}
+    broken = checked = 0
+    for item in evidence.all_seen:
+        owner = owners.get(item.headers.get("x-echo", ""))
+        if owner is not None:
+            checked += 1
+            broken += item.workspace != owner
+    return checked, broken
+
+
+@promise("No backend server ever sees a key")
+def _check_keys(evidence: Evidence) -> tuple[int, int]:
+    names = evidence.deployment.workspaces
+    keys = [get_key(name, number) for name in names for number in (1, 2)]
+    broken = 0
+    for item in evidence.all_seen:
+        text = " ".join(item.headers.values())
+        broken += any(key in text for key in keys) or "authorization" in item.headers
+    return len(evidence.all_seen), broken
+
+
+@promise("A withdrawn key stops working within seconds")
+def _check_withdrawal(evidence: Evidence) -> tuple[int, int]:
+    if evidence.withdrawn is None:
+        return 0, 0
+    workspace, key, at = evidence.withdrawn
+    ids = {
+        call.id
+        for call in evidence.calls
+        if call.workspace == workspace and call.key == key
+    }
+    late = [
+        item
+        for item in evidence.all_seen
+        if item.headers.get("x-echo", "") in ids and item.at > at + SECONDS_TO_WITHDRAW
+    ]
+    tried = sum(
+        call.id in ids and call.sent > at + SECONDS_TO_WITHDRAW
+        for call in evidence.calls
+    )
+    return tried, len(late)
+
+
+@promise("No workspace gets more than its rate and burst over all instances")
+def _check_rates(evidence: Evidence) -> tuple[int, int]:
+    broken = 0
+    for workspace, (rate, burst) in evidence.rates.items():
+        # A call's token was spent between its first byte and its last, so calls that
+        # lie wholly inside a window were all charged inside it.
+        spent = sorted(
+            (call.sent, call.ended)
+            for call in evidence.calls
+            if call.workspace == workspace and call.outcome == "served"
+        )
+        ends = sorted(end for _, end in spent)
+        broken += any(
+            _count_inside(spent, start, end) > burst + rate * (end - start) + 1
+            for start, _ in spent[::3]
+            for end in ends[::3]
+            if end > start
+        )
+    return len(evidence.rates), broken
+
+
+def _count_inside(spent: list[tuple[float, float]], start: float, end: float) -> int:
+    return sum(start <= sent and ended <= end for sent, ended in spent)
+
+
+@promise("Every caller receives the whole answer to its own request")
+def _check_whole(evidence: Evidence) -> tuple[int, int]:
+    served = [call for call in evidence.calls if call.outcome == "served"]
+    return len(served), sum(not call.whole for call in served)
+
+
+@promise('When a refusal says "not run", the request did not run')
+def _check_not_run(evidence: Evidence) -> tuple[int, int]:
+    started = {
+        item.headers.get("x-echo", "")
+        for item in evidence.all_seen
+        if item.headers.get("x-echo")
+    }
+    refused = [call for call in evidence.calls if call.verdict is Verdict.NOT_RUN]
+    return len(refused), sum(call.id in started for call in refused)
+
+
+@promise("A non-idempotent request runs at most once")
+def _check_once(evidence: Evidence) -> tuple[int, int]:
+    posts = {call.id for call in evidence.calls if call.method == "POST"}
+    starts = collections.Counter(
+        item.operation for item in evidence.all_seen if item.operation in posts
+    )
+    return len(starts), sum(count > 1 for count in starts.values())
+
+
+@promise("A leaving backend server receives no new work after a few seconds")
+def _check_drain(evidence: Evidence) -> tuple[int, int]:
+    if evidence.drained is None:
+        return 0, 0
+    address, at = evidence.drained
+    late = [s for s in evidence.seen[address] if s.at > at + SECONDS_TO_DRAIN]
+    return len(evidence.seen[address]), len(late)
+
+
+@promise("A planned stop cuts off no request")
+def _check_stop(evidence: Evidence) -> tuple[int, int]:
+    if evidence.stop is None:
+        return 0, 0
+    start, end = evidence.stop
+    during = [call for call in evidence.calls if call.sent < end and call.ended > start]
+    lost = ("connection-lost", "answer-broken")
+    return len(during), sum(call.outcome in lost for call in during)
+
+
+@promise("An accepted configuration never reverts")
+def _check_revert(evidence: Evidence) -> tuple[int, int]:
+    if evidence.withdrawn is None:
+        return 0, 0
+    workspace, key, at = evidence.withdrawn
+    # Once one caller was refused for the withdrawn key, no later call may be served
+    # by the instance that refused; seen from outside: none at all after the bound.
+    later = [
+        call
+        for call in evidence.calls
+        if call.workspace == workspace
+        and call.key == key
+        and call.sent > at + SECONDS_TO_WITHDRAW
+    ]
+    return len(later), sum(call.outcome == "served" for call in later)
--- /dev/null
+++ b/primroseglade/demo/deployments.py
@@ -0,0 +1,162 @@
+"""The two deployments of the demo, with the sizes of their documents."""
+
+from typing import Any
+
+from ..document.document import digest_key
+
+# One process runs all of it: slots are divided by this, so that its processor can
+# fill them, and everything that is relative to slots stays as it is.
+SLOTS_DIVISOR = 20
+FEWEST_SLOTS = 4
+
+
+class ServiceSize:
+    """A service's backend servers.
+
+    Args:
+        servers: How many there are.
+        slots: Calls at once, each.
+        connections: Connections, each.
+        importance: Class of its calls.
+        part: Its part of all root calls.
+        nested: Calls that each of its calls makes first.
+    """
+
+    __slots__ = ("connections", "importance", "nested", "part", "servers", "slots")
+
+    def __init__(
+        self,
+        servers: int,
+        slots: int,
+        connections: int,
+        importance: str = "normal",
+        part: float = 0.25,
+        nested: tuple[str, ...] = (),
+    ):
+        self.servers = servers
+        self.slots = slots
+        self.connections = connections
+        self.importance = importance
+        self.part = part
+        self.nested = nested
+
+
+class Deployment:
+    """Zones, services and workspaces.
+
+    Args:
+        name: Its name.
+        zones: Availability zones, each with the same share.
+        services: By name; the deepest first.
+        workspaces: By name, each with its part of all calls.
+    """
+
+    __slots__ = ("name", "services", "workspaces", "zones")
+
+    def __init__(
+        self,
+        name: str,
+        zones: tuple[str, ...],
+        services: dict[str, ServiceSize],
+        workspaces: dict[str, float],
+    ):
+        self.name = name
+        self.zones = zones
+        self.services = services
+        self.workspaces = workspaces
+
+    @property
+    def deep_service(self) -> str:
+        """The service at the end of the call chains, which the demo slows down."""
+        return next(iter(self.services))
+
+    @property
+    def critical_service(self) -> str:
+        """The service whose calls are shed last."""
+        return next(
+            name
+            for name, size in self.services.items()
+            if size.importance == "critical"
+        )
+
+    def build_document(self, rate: float, burst: float) -> dict[str, Any]:
+        """Return the document's kinds, with rates that add up to ``rate`` calls/s."""
+        share = 1 / len(self.zones)
+        return {
+            "zones": {zone: {"share": share} for zone in self.zones},
+            "workspaces": {
+                name: {"keys": [build_key(name, 1), build_key(name, 2)]}
+                for name in self.workspaces
+            },
+            "rates": {
+                name: {"per_second": rate * part, "burst": max(8.0, burst * part)}
+                for name, part in self.workspaces.items()
+            },
+            "services": {
+                name: {"backend_servers": [{"network": "127.0.0.0/8"}]}
+                for name in self.services
+            },
+            "importance": {
+                name: {"default": size.importance}
+                for name, size in self.services.items()
+            },
+        }
+
+
+def build_key(workspace: str, number: int) -> dict[str, Any]:
+    """Return one of a workspace's keys as the document holds it."""
+    return {
+        "id": f"{workspace}-{number}",
+        "digest": digest_key(get_key(workspace, number)),
+        "batch": f"batch-{number}",
+    }
+
+
+def get_key(workspace: str, number: int) -> str:
+    """Return one of a workspace's keys as its callers hold it."""
+    return f"demo-key-of-{workspace}-number-{number}"
+
+
+SPLIT = Deployment(
+    "split",
+    ("split-a", "split-b", "split-c", "split-d"),
+    {
+        "archive": ServiceSize(6, 150, 1000, "normal", 0.4),
+        "imagery": ServiceSize(4, 230, 1500, "low", 0.25),
+        "certificates": ServiceSize(4, 230, 1500, "high", 0.25, ("/archive/history",)),
+        "dispatch": ServiceSize(4, 20, 230, "critical", 0.1, ("/archive/history",)),
+    },
+    {
+        "inspectorate": 0.25,
+        "sweepers-north": 0.2,
+        "sweepers-south": 0.2,
+        "dispatchers": 0.1,
+        "sweepers-islands": 0.1,
+        "billing": 0.05,
+        "archive-office": 0.05,
+        "partners": 0.05,
+    },
+)
+
+LAGOS = Deployment(
+    "lagos",
+    ("lagos-a", "lagos-b", "lagos-c"),
+    {
+        "wallet": ServiceSize(5, 100, 700, "normal", 0.4),
+        "docs": ServiceSize(3, 170, 1150, "low", 0.2),
+        "roster": ServiceSize(3, 40, 340, "normal", 0.25, ("/wallet/balance",)),
+        "disburse": ServiceSize(3, 170, 1150, "critical", 0.15, ("/wallet/balance",)),
+    },
+    {
+        "crew-mainland": 0.25,
+        "crew-island": 0.2,
+        "managers": 0.15,
+        "riggers": 0.15,
+        "drivers": 0.1,
+        "caterers": 0.05,
+        "accounts": 0.05,
+        "partners": 0.05,
+    },
+)
+
+DEPLOYMENTS = {deployment.name: deployment for deployment in (SPLIT, LAGOS)}
--- /dev/null
+++ b/primroseglade/demo/report.py
@@ -0,0 +1,131 @@
+"""The measures of the brief, worked out from what callers saw."""
+
+import collections
+from typing import Any
+
+from .checks import Evidence, Finding
+from .records import CallRecord
+
+BIN_SECONDS = 0.25
+RECOVERED_SHARE = 0.95
+SMOOTHED_BINS = 4
+
+
+class Report:
+    """Measures and findings of one run."""
+
+    __slots__ = (
+        "findings",
+        "goodput",
+        "offered",
+        "outcomes",
+        "recovery_seconds",
+        "refused_within_rate",
+        "served_share",
+        "worst_share",
+        "worst_workspace",
+    )
+
+    def __init__(self, evidence: Evidence, findings: list[Finding], greedy: str):
+        calls = [call for call in evidence.calls if not _is_withdrawn(call, evidence)]
+        seconds = max(c.ended for c in calls) - min(c.sent for c in calls)
+        served = sum(call.served for call in calls)
+        self.findings = findings
+        self.offered = len(calls)
+        self.goodput = served / seconds
+        self.served_share = served / len(calls)
+        self.outcomes = collections.Counter(call.outcome for call in evidence.calls)
+        within = [call for call in calls if call.workspace != greedy]
+        self.refused_within_rate = sum(
+            call.outcome in ("rate-exceeded", "rate-unavailable") for call in within
+        )
+        self.worst_workspace, self.worst_share = _find_worst(within)
+        self.recovery_seconds = _measure_recovery(calls, evidence.overload)
+
+    @property
+    def kept(self) -> bool:
+        """Whether no promise was broken."""
+        return all(finding.kept for finding in self.findings)
+
+    def to_dict(self) -> dict[str, Any]:
+        """Return the report for JSON."""
+        fields = {name: getattr(self, name) for name in self.__slots__}
+        fields["findings"] = [
+            {
+                "promise": f.promise,
+                "kept": f.kept,
+                "checked": f.checked,
+                "broken": f.broken,
+            }
+            for f in self.findings
+        ]
+        fields["kept"] = self.kept
+        return fields
+
+    def to_lines(self) -> list[str]:
+        """Return the report for people."""
+        recovery = self.recovery_seconds
+        lines = [
+            f"calls offered                 {self.offered}",
+            f"goodput of whole requests     {self.goodput:.1f}/s, "
+            f"{self.served_share:.1%} of those offered",
+            "recovery after overload       "
+            + ("not reached" if recovery is None else f"{recovery:.2f} s"),
+            f"worst-served workspace        {self.worst_workspace}, "
+            f"{self.worst_share:.1%} served",
+            f"refused within their rate     {self.refused_within_rate}",
+            "outcomes                      "
+            + ", ".join(f"{name} {n}" for name, n in self.outcomes.most_common()),
+            "",
+        ]
+        for finding in self.findings:
+            mark = "kept  " if finding.kept else "BROKEN"
+            lines.append(
+                f"{mark} {finding.promise} ({finding.checked} checked, "
+                f"{finding.broken} broken)"
+            )
+        return lines
+
+
+def _is_withdrawn(call: CallRecord, evidence: Evidence) -> bool:
+    if evidence.withdrawn is None:
+        return False
+    workspace, key, at = evidence.withdrawn
+    return call.workspace == workspace and call.key == key and call.sent > at
+
+
+def _find_worst(calls: list[CallRecord]) -> tuple[str, float]:
+    served: dict[str, list[bool]] = collections.defaultdict(list)
+    for call in calls:
+        served[call.workspace].append(call.served)
+    shares = {name: sum(items) / len(items) for name, items in served.items()}
+    worst = min(shares, key=lambda name: shares[name])
+    return worst, shares[worst]
+
+
+def _measure_recovery(
+    calls: list[CallRecord], overload: tuple[float, float] | None
+) -> float | None:
+    """Return seconds from the trigger's end until calls are served as before.
+
+    Served share by the time calls were sent, over a sliding second.
+    """
+    if overload is None:
+        return None
+    start, end = overload
+    # What a workspace over its rate is refused belongs to no overload.
+    counted = [call for call in calls if call.outcome != "rate-exceeded"]
+    before = [call.served for call in counted if call.sent < start]
+    if not before:
+        return None
+    wanted = RECOVERED_SHARE * sum(before) / len(before)
+    step = 0
+    while True:
+        left = end + step * BIN_SECONDS
+        right = left + SMOOTHED_BINS * BIN_SECONDS
+        inside = [call.served for call in counted if left <= call.sent < right]
+        if not inside:
+            return None
+        if sum(inside) / len(inside) >= wanted:
+            return step * BIN_SECONDS
+        step += 1
--- a/primroseglade/document/document.py
+++ b/primroseglade/document/document.py
@@ -40,7 +40,7 @@
 
     __slots__ = ("batch", "id", "workspace")
 
-    def __init__(self, id: str, workspace: str, batch: str):  # noqa: A002
+    def __init__(self, id: str, workspace: str, batch: str):
         self.id = id
         self.workspace = workspace
         self.batch = batch
--- a/primroseglade/document/fold.py
+++ b/primroseglade/document/fold.py
@@ -7,10 +7,10 @@
 from .document import Document, Section
 from .records import (
     Edit,
-    SnapshotPart,
     is_snapshot,
     parse_edit,
     parse_snapshot_part,
+    SnapshotPart,
     split_snapshot,
 )
 from .schema import check_section, split_section
--- a/primroseglade/document/records.py
+++ b/primroseglade/document/records.py
@@ -65,7 +65,7 @@
 
     __slots__ = ("author", "edits", "id")
 
-    def __init__(self, edits: list[SectionEdit], author: str, id: str = ""):  # noqa: A002
+    def __init__(self, edits: list[SectionEdit], author: str, id: str = ""):
         self.edits = edits
         self.author = author
         self.id = id or uuid.uuid4().hex
@@ -120,7 +120,7 @@
 
     def __init__(
         self,
-        id: str,  # noqa: A002
+        id: str,
         next_offset: int,
         part: int,
         parts: int,
--- a/primroseglade/fleet/configuration.py
+++ b/primroseglade/fleet/configuration.py
@@ -403,7 +403,9 @@
             values = json.loads(reply.snapshot)
             parts = self._configuration.read_snapshot(values)
             self._configuration.load(parts)
-        records = [LogRecord(item.offset, json.loads(item.value)) for item in reply.records]
+        records = [
+            LogRecord(item.offset, json.loads(item.value)) for item in reply.records
+        ]
         self._configuration.apply(records)
         if self._configuration.next_offset > before:
             self._on_news()
--- a/primroseglade/fleet/control.py
+++ b/primroseglade/fleet/control.py
@@ -10,6 +10,7 @@
 
 from ..addresses import join_address, parse_address
 from ..errors import PrimrosegladeError
+from ..network import Network
 from ..observe.events import Journal, MESSAGE_REFUSED
 from ..observe.metrics import Metrics
 from ..proto import control_pb2 as pb
@@ -143,10 +144,12 @@
     Args:
         sealer: Seals and opens messages.
         metrics: Counts them.
+        network: What can be reached.
     """
 
-    def __init__(self, sealer: Sealer, metrics: Metrics):
+    def __init__(self, sealer: Sealer, metrics: Metrics, network: Network):
         self._sealer = sealer
+        self._network = network
         self._metrics = metrics
         self._channels: collections.OrderedDict[str, grpc.aio.Channel] = (
             collections.OrderedDict()
@@ -179,13 +182,14 @@
         self._metrics.bytes.labels("out").inc(len(raw))
         send = self._get_channel(address).unary_unary(f"/{SERVICE}/{method}")
         try:
+            await self._network.pass_through(address, timeout)
             answer = await send(raw, timeout=timeout)
             sealed = self._sealer.open(answer, method, nonce)
             self._metrics.bytes.labels("in").inc(len(answer))
             return reply_type.FromString(sealed.body)
         except grpc.aio.AioRpcError as error:
             raise PeerError(f"{address}: {error.code().name}") from error
-        except (SealError, DecodeError) as error:
+        except (SealError, DecodeError, TimeoutError) as error:
             raise PeerError(f"{address}: {error}") from error
 
     async def close(self) -> None:
--- a/primroseglade/fleet/gossip.py
+++ b/primroseglade/fleet/gossip.py
@@ -92,7 +92,7 @@
                 try:
                     await asyncio.wait_for(self._pick_again.wait(), self._period)
                     await asyncio.sleep(GATHER_SECONDS)
-                except asyncio.TimeoutError:
+                except TimeoutError:
                     pass
         finally:
             await self._supervisor.close()
@@ -171,7 +171,7 @@
                 try:
                     await asyncio.wait_for(wakeup.wait(), pause)
                     await asyncio.sleep(GATHER_SECONDS)
-                except asyncio.TimeoutError:
+                except TimeoutError:
                     pass
                 wakeup.clear()
 
--- a/primroseglade/listener.py
+++ b/primroseglade/listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
@@ -12,6 +13,10 @@
 from .addresses import join_address, parse_address
 from .http_guard import build_protocol
 
+# uvicorn writes a traceback for every request whose task is cancelled, which here is
+# how a caller that went away is told; what fails in a call is an event of its own.
+logging.getLogger("uvicorn").setLevel(logging.CRITICAL + 1)
+
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 30
 
@@ -64,7 +69,10 @@
     def __init__(self, app: Any, address: str, header_bytes: int = 32768):
         host, port = parse_address(address)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        # With the protocol left to the kernel, asyncio does not see that accepted
+        # sockets are TCP and leaves Nagle's algorithm on: each answer then waits
+        # about 40 ms for the client's delayed acknowledgement.
+        self._socket = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((host, port))
         self._address = join_address(host, self._socket.getsockname()[1])
--- a/primroseglade/node.py
+++ b/primroseglade/node.py
@@ -27,6 +27,7 @@
 from .fleet.seal import Sealer
 from .fleet.stream import MembershipStream
 from .listener import Listener
+from .network import Network
 from .observe.decisions import Decisions
 from .observe.events import Journal, NODE_STARTED, NODE_STOPPED, NODE_STOPPING
 from .observe.metrics import Metrics
@@ -50,10 +51,12 @@
 
     Args:
         settings: Of this process.
+        network: What can be reached; tests cut links in theirs.
     """
 
-    def __init__(self, settings: NodeSettings):
+    def __init__(self, settings: NodeSettings, network: Network | None = None):
         self._settings = settings
+        self._network = network or Network()
         self._journal = Journal(settings.instance, settings.log.level)
         self._metrics = Metrics()
         self._decisions = Decisions()
@@ -187,7 +190,7 @@
         grace = self._settings.timeouts.drain
         try:
             await asyncio.wait_for(self._tools.in_flight.wait_idle(), grace)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             pass
         await self._candidate.give_up()
         await self._gossip.say_goodbye(state=State.LEFT)
@@ -238,7 +241,7 @@
             async with asyncio.timeout(START_TIMEOUT_SECONDS):
                 await self._reader.start()
                 contacts = await self._stream.find_contacts() + contacts
-        except (LogUnavailableError, asyncio.TimeoutError):
+        except (TimeoutError, LogUnavailableError):
             pass
         await self._gossip.introduce(contacts)
         if self._configuration.ready:
@@ -257,8 +260,8 @@
         self._server = ControlServer(
             settings.listen.control, sealer, self._metrics, self._journal
         )
-        self._client = ControlClient(sealer, self._metrics)
-        self._log = LogClient(settings.platform)
+        self._client = ControlClient(sealer, self._metrics, self._network)
+        self._log = LogClient(settings.platform, network=self._network)
         self._configuration = Configuration(
             settings.fleet_secret, self._journal, self._metrics
         )
@@ -363,7 +366,7 @@
             self._metrics,
         )
         self._router = Router(self._members)
-        self._relay = Relay(settings, seal)
+        self._relay = Relay(settings, seal, self._network)
         dispatcher = Dispatcher(
             self._members,
             self._router,
--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -47,9 +47,7 @@
 
 
 # 1xx: the process.
-NODE_STARTED = _define(
-    101, "info", "node started", "All listeners accept connections."
-)
+NODE_STARTED = _define(101, "info", "node started", "All listeners accept connections.")
 NODE_STOPPING = _define(
     102,
     "info",
@@ -243,7 +241,9 @@
 
 
 def _needs_quotes(value: Any) -> bool:
-    return isinstance(value, str) and (not value or not value.isprintable() or " " in value)
+    return isinstance(value, str) and (
+        not value or not value.isprintable() or " " in value
+    )
 
 
 class EventHandler(logbook.Handler):
--- a/primroseglade/observe/metrics.py
+++ b/primroseglade/observe/metrics.py
@@ -3,7 +3,22 @@
 import prometheus_client
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-SECONDS = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
+SECONDS = (
+    0.0005,
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1,
+    2.5,
+    5,
+    10,
+)
 
 
 class Metrics:
@@ -85,7 +100,9 @@
             for family in self._registry.collect()
         ]
 
-    def _counter(self, name: str, text: str, labels: list[str] | None = None) -> Counter:
+    def _counter(
+        self, name: str, text: str, labels: list[str] | None = None
+    ) -> Counter:
         return Counter(
             f"primroseglade_{name}", text, labels or [], registry=self._registry
         )
--- a/primroseglade/platform/log.py
+++ b/primroseglade/platform/log.py
@@ -4,13 +4,13 @@
 partition's records from an offset, and ask for the first and last offsets.
 """
 
-import asyncio
 import json
 from typing import Any
 
 import aiohttp
 
 from ..errors import PrimrosegladeError, UnreachableError
+from ..network import Network
 
 CONTENT_TYPE = "application/vnd.kafka.json.v2+json"
 OFFSET_OUT_OF_RANGE = 1
@@ -48,9 +48,14 @@
     Args:
         address: ``IP:PORT`` of the log service.
         timeout: Seconds to wait for an answer, besides the wait of a long poll.
+        network: What can be reached.
     """
 
-    def __init__(self, address: str, timeout: float = 2.0):
+    def __init__(
+        self, address: str, timeout: float = 2.0, network: Network | None = None
+    ):
+        self._address = address
+        self._network = network or Network()
         self._url = f"http://{address}/topics"
         self._timeout = timeout
         self._session: aiohttp.ClientSession | None = None
@@ -109,12 +114,13 @@
         headers = {"Accept": CONTENT_TYPE, "Content-Type": CONTENT_TYPE}
         bound = aiohttp.ClientTimeout(total=timeout)
         try:
+            await self._network.pass_through(self._address, timeout)
             async with self._session.request(
                 method, self._url + path, data=body, headers=headers, timeout=bound
             ) as response:
                 answer = await response.json(content_type=None)
                 status = response.status
-        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
             reason = str(error) or type(error).__name__
             raise LogUnavailableError(f"the log does not answer: {reason}") from error
         if status == 200:
--- a/primroseglade/rates/bucket.py
+++ b/primroseglade/rates/bucket.py
@@ -14,7 +14,7 @@
 
     __slots__ = ("expires_at", "id", "tokens")
 
-    def __init__(self, id: int, tokens: float, expires_at: float):  # noqa: A002
+    def __init__(self, id: int, tokens: float, expires_at: float):
         self.id = id
         self.tokens = tokens
         self.expires_at = expires_at
@@ -56,6 +56,10 @@
         """Tokens a second."""
         return self._rate
 
+    def is_open(self, now: float) -> bool:
+        """Whether a predecessor's grants have all ended."""
+        return now > self._blocked_until
+
     def change(self, rate: float, burst: float, now: float) -> None:
         """Go on with another rate and burst from now on."""
         self.accrue(now)
--- a/primroseglade/rates/charger.py
+++ b/primroseglade/rates/charger.py
@@ -108,7 +108,7 @@
                     if wallet.purse.spend(1.0, read_clock()):
                         return
                     self._raise_denial(wallet)
-        except asyncio.TimeoutError as error:
+        except TimeoutError as error:
             raise not_run(
                 Reason.DEADLINE_EXCEEDED, "no rate token before the deadline"
             ) from error
@@ -143,7 +143,9 @@
         wanted = max(1.0, wallet.waiting, wallet.demand.read() * AHEAD_SECONDS)
         reached = False
         for address, instance in self._list_holders(workspace):
-            reply, sent_at = await self._ask(workspace, wallet, wanted, address, instance)
+            reply, sent_at = await self._ask(
+                workspace, wallet, wanted, address, instance
+            )
             if reply is None or not reply.holder:
                 continue
             reached = True
--- a/primroseglade/rates/holder.py
+++ b/primroseglade/rates/holder.py
@@ -131,6 +131,11 @@
             reply = self._take(account, request.wanted)
         return reply or self._build_denial(account)
 
+    def holds(self, workspace: str) -> bool:
+        """Whether the workspace's tokens in this zone are granted here now."""
+        account = self._find_account(workspace)
+        return account is not None and account.bucket.is_open(read_clock())
+
     def describe(self) -> dict[str, dict[str, float]]:
         """Return the accounts for the operator address."""
         now = read_clock()
--- a/primroseglade/rates/lease.py
+++ b/primroseglade/rates/lease.py
@@ -137,9 +137,7 @@
     async def _answer(self, request: pb.VoteRequest, sender: str) -> pb.VoteReply:
         for partition in request.released:
             self.release(partition, sender)
-        votes = [
-            self.vote(request.zone, ballot, sender) for ballot in request.ballots
-        ]
+        votes = [self.vote(request.zone, ballot, sender) for ballot in request.ballots]
         return pb.VoteReply(votes=votes)
 
 
--- a/primroseglade/settings/reader.py
+++ b/primroseglade/settings/reader.py
@@ -6,7 +6,7 @@
 
 import jsonc
 from jsonschema import Draft202012Validator, FormatChecker
-from jsonschema.exceptions import ValidationError, best_match
+from jsonschema.exceptions import best_match, ValidationError
 
 from ..addresses import parse_address
 from ..errors import InputError
--- a/primroseglade/stand_ins/backend.py
+++ b/primroseglade/stand_ins/backend.py
@@ -165,7 +165,7 @@
         try:
             async with self._session.put(url, json=fields) as response:
                 return response.status == 200
-        except (aiohttp.ClientError, asyncio.TimeoutError):
+        except (TimeoutError, aiohttp.ClientError):
             return False
 
     async def _keep_announcing(self) -> None:
@@ -174,7 +174,7 @@
             pause = ANNOUNCE_SECONDS if taken else 0.1
             try:
                 await asyncio.wait_for(self._stopping.wait(), pause)
-            except asyncio.TimeoutError:
+            except TimeoutError:
                 continue
 
     async def _handle(self, scope: Any, receive: Any, send: Any) -> None:
@@ -182,6 +182,8 @@
         assert task is not None
         scope["on_disconnect"] = task.cancel
         target = scope["raw_path"].decode("latin-1")
+        if scope["query_string"]:
+            target += "?" + scope["query_string"].decode("latin-1")
         headers = {
             name.decode("latin-1"): value.decode("latin-1")
             for name, value in scope["headers"]
@@ -198,7 +200,7 @@
         except asyncio.CancelledError:
             seen.cancelled = True
             return
-        except (_NestedError, aiohttp.ClientError, asyncio.TimeoutError) as error:
+        except (TimeoutError, _NestedError, aiohttp.ClientError) as error:
             seen.finished = True
             await _send_json(send, 500, {"error": f"a nested call failed: {error}"})
             return
--- /dev/null
+++ b/primroseglade/stand_ins/fleet.py
@@ -0,0 +1,219 @@
+"""A small fleet in one process: the log, nodes, and a backend server beside each."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from ..document.records import Edit, SectionEdit
+from ..network import CutNetwork
+from ..node import Node
+from ..platform.log import CONFIGURATION
+from ..settings.node import build_node_settings
+from .backend import BackendStandIn, Behaviour
+from .log import LogStandIn
+
+POLL_SECONDS = 0.02
+SECRET = "a secret that only this embedded fleet knows"
+
+
+class Place:
+    """A node, the backend server beside it, and the links that the node sees."""
+
+    def __init__(self, node: Node, network: CutNetwork, backend: BackendStandIn | None):
+        self.node = node
+        self.network = network
+        self.backend = backend
+        self.stopped = False
+
+    @property
+    def zone(self) -> str:
+        """Availability zone of both."""
+        return self.node.settings.zone
+
+    @property
+    def callers(self) -> str:
+        """Callers' address of the node."""
+        return self.node.listeners["callers"]
+
+    @property
+    def addresses(self) -> set[str]:
+        """Addresses at which other nodes reach the node."""
+        return {self.node.listeners["relay"], self.node.listeners["control"]}
+
+
+class EmbeddedFleet:
+    """Starts, cuts and stops the parts of a fleet.
+
+    Args:
+        settings: Groups of node settings that differ from their defaults.
+        retention: Records that the log keeps.
+    """
+
+    def __init__(
+        self, settings: dict[str, Any] | None = None, retention: int = 100_000
+    ):
+        self._settings = settings or {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._started = 0
+        self.log = LogStandIn(retention=retention)
+        self.places: list[Place] = []
+
+    async def __aenter__(self) -> "EmbeddedFleet":
+        self._run(self.log.run())
+        await self.log.wait_started()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for place in self.places:
+            if place.backend is not None:
+                place.backend.kill()
+            if not place.stopped:
+                await place.node.kill()
+        self.log.stop()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @property
+    def nodes(self) -> list[Node]:
+        """Nodes that were not stopped."""
+        return [place.node for place in self.places if not place.stopped]
+
+    async def publish(self, author: str = "operator", **kinds: dict[str, Any]) -> int:
+        """Append an edit, based on the log's own fold at the first node.
+
+        Args:
+            author: Who publishes.
+            **kinds: Section kind to name to value.
+
+        Returns:
+            The record's offset.
+        """
+        known = self.nodes[0].configuration.document.sections if self.nodes else {}
+        edits = []
+        for kind, named in kinds.items():
+            for name, value in named.items():
+                section = f"{kind}/{name}"
+                base = known[section].version if section in known else None
+                edits.append(SectionEdit(section, base, value))
+        return await self.log.append(CONFIGURATION, Edit(edits, author).to_value())
+
+    async def add(
+        self,
+        zone: str,
+        service: str = "",
+        behaviour: Behaviour | None = None,
+        instance: str = "",
+        **settings: Any,
+    ) -> Place:
+        """Start a node, and a backend server beside it if a service is named."""
+        self._started += 1
+        instance = instance or f"{zone}-{service or 'node'}-{self._started}"
+        fields = {
+            "instance": instance,
+            "zone": zone,
+            "platform": self.log.address,
+            "fleet_secret": SECRET,
+        }
+        network = CutNetwork()
+        fields |= self._settings | settings
+        node = Node(build_node_settings(fields), network)
+        await node.start()
+        backend = None
+        if service:
+            backend = BackendStandIn(
+                service, node.listeners["backend"], behaviour, seed=self._started
+            )
+            self._run(backend.run())
+            await backend.wait_started()
+        place = Place(node, network, backend)
+        self.places.append(place)
+        return place
+
+    async def stop(self, place: Place) -> None:
+        """Stop a place as planned: the backend server goes when its node has gone."""
+        place.stopped = True
+        if place.backend is not None:
+            await place.backend.drain()
+        await place.node.stop()
+        if place.backend is not None:
+            place.backend.stop()
+
+    async def kill(self, place: Place) -> None:
+        """Lose a place without a word."""
+        place.stopped = True
+        if place.backend is not None:
+            place.backend.kill()
+        await place.node.kill()
+
+    def cut_zone(self, zone: str, from_platform: bool, from_zones: bool) -> None:
+        """Cut a zone off from the platform, from all other zones, or from both."""
+        inside = [place for place in self.places if place.zone == zone]
+        outside = [place for place in self.places if place.zone != zone]
+        for place in inside:
+            if from_platform:
+                place.network.cut({self.log.address})
+            if from_zones:
+                for other in outside:
+                    place.network.cut(other.addresses)
+                    other.network.cut(place.addresses)
+
+    def heal(self) -> None:
+        """Bring every link back."""
+        for place in self.places:
+            place.network.heal()
+
+    async def wait(
+        self, condition: Callable[[], bool], timeout: float = 20.0, what: str = ""
+    ) -> None:
+        """Wait until a condition holds.
+
+        Raises:
+            TimeoutError: It did not.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                while not condition():
+                    await asyncio.sleep(POLL_SECONDS)
+        except TimeoutError:
+            raise TimeoutError(f"waited {timeout} s for {what or condition}") from None
+
+    async def wait_ready(self) -> None:
+        """Wait until all know all, backend servers serve, and rates have holders."""
+        await self.wait(self._is_ready, what="a fleet that is ready")
+
+    async def wait_offset(self, next_offset: int) -> None:
+        """Wait until every node has folded everything before an offset."""
+        await self.wait(
+            lambda: all(n.configuration.next_offset >= next_offset for n in self.nodes),
+            what=f"offset {next_offset} everywhere",
+        )
+
+    def _is_ready(self) -> bool:
+        nodes = self.nodes
+        for node in nodes:
+            others = node.members.get_reachable()
+            if len(others) < len(nodes) or node.configuration.next_offset < 1:
+                return False
+        for place in self.places:
+            if place.backend is None or place.stopped or place.backend.draining:
+                continue
+            name = place.node.settings.instance
+            known = [node.members.get(name) for node in nodes]
+            if not all(member and member.serving for member in known):
+                return False
+        return self._has_holders()
+
+    def _has_holders(self) -> bool:
+        """Whether every zone with a share has a holder for every rate's partition."""
+        nodes = self.nodes
+        document = nodes[0].configuration.document
+        for zone in {node.settings.zone for node in nodes}:
+            if not document.shares.get(zone):
+                continue
+            local = [node for node in nodes if node.settings.zone == zone]
+            for workspace in document.rates:
+                if not any(node.holder.holds(workspace) for node in local):
+                    return False
+        return True
+
+    def _run(self, work: Awaitable[None]) -> None:
+        self._tasks.append(asyncio.ensure_future(work))
--- a/primroseglade/stand_ins/log.py
+++ b/primroseglade/stand_ins/log.py
@@ -170,7 +170,7 @@
 
         try:
             await asyncio.wait_for(wait_changed(), wait)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             return
 
     async def _handle_offsets(self, request: Request) -> Response:
@@ -178,9 +178,7 @@
         if fault:
             return fault
         topic = self.get_topic(request.route_values["name"])
-        return _answer(
-            200, {"beginning_offset": topic.first, "end_offset": topic.end}
-        )
+        return _answer(200, {"beginning_offset": topic.first, "end_offset": topic.end})
 
 
 def _answer(status: int, value: Any) -> Response:
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,237 @@
+"""The whole path: caller, node, backend server, and back."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+import pytest
+
+from primroseglade.client import Client
+from primroseglade.stand_ins.backend import Behaviour
+from primroseglade.stand_ins.fleet import EmbeddedFleet
+from primroseglade.verdicts import Reason, Refusal, Verdict
+
+from .helpers import build_document, FAST, KEY
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(*places: tuple[str, str, Behaviour | None], **document):
+    services = tuple({service for _, service, _ in places})
+    async with EmbeddedFleet(FAST) as fleet:
+        await fleet.publish(**build_document(services=services, **document))
+        for zone, service, behaviour in places:
+            await fleet.add(zone, service, behaviour)
+        await fleet.wait_ready()
+        yield fleet
+
+
+async def send_raw(address: str, request: bytes) -> bytes:
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(request)
+    answer = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return answer
+
+
+async def test_call_reaches_backend_server_without_its_key():
+    async with run_fleet(("a", "archive", None)) as fleet:
+        async with Client([fleet.places[0].callers], KEY) as client:
+            reply = await client.call("archive", "/records/1?year=2026")
+        fields = json.loads(reply.body)
+        seen = fleet.places[0].backend.seen[0]
+    assert reply.status == 200
+    assert fields["target"] == "/records/1?year=2026"
+    assert fields["workspace"] == "north"
+    assert "authorization" not in seen.headers
+    assert KEY not in str(seen.headers)
+
+
+async def test_any_node_is_an_entry_and_relays_once():
+    places = [("a", "archive", None), ("b", "imagery", None)]
+    async with run_fleet(*places) as fleet:
+        async with Client([fleet.places[1].callers], KEY) as client:
+            reply = await client.call("archive", "/x")
+        relayed = fleet.places[1].node.metrics.read("relayed_total")
+    assert reply.status == 200
+    assert relayed == 1
+    assert reply.headers["primroseglade-nodes"] == fleet.places[0].callers
+
+
+async def test_nested_call_carries_workspace_and_trace():
+    nested = Behaviour(nested=("/archive/history",))
+    places = [("a", "archive", None), ("b", "dispatch", nested)]
+    async with run_fleet(*places) as fleet:
+        async with Client([fleet.places[0].callers], KEY) as client:
+            reply = await client.call("dispatch", "/go")
+        inner = fleet.places[0].backend.seen[0]
+    assert reply.status == 200
+    assert inner.workspace == "north"
+    assert inner.target == "/history"
+    assert inner.headers["traceparent"][3:35] == reply.headers["primroseglade-trace"]
+
+
+@pytest.mark.parametrize("size", [0, 100, 65_537, 3_000_000])
+async def test_bodies_of_all_sizes_arrive_whole(size):
+    big = Behaviour(answer_bytes=max(size, 200))
+    async with run_fleet(("a", "archive", big), ("b", "imagery", None)) as fleet:
+        for place in fleet.places:
+            async with Client([place.callers], KEY) as client:
+                reply = await client.call("archive", "/x", "POST", b"x" * size)
+            assert json.loads(reply.body)["received"] == size
+            assert len(reply.body) == max(size, 200)
+
+
+@pytest.mark.parametrize(
+    ("headers", "path", "reason"),
+    [
+        ({}, "/archive/x", Reason.KEY_MISSING),
+        ({"Authorization": "Bearer nobody's"}, "/archive/x", Reason.KEY_UNKNOWN),
+        ({"Authorization": f"Bearer {KEY}"}, "/nothing/x", Reason.SERVICE_UNKNOWN),
+        (
+            {"Authorization": f"Bearer {KEY}", "Primroseglade-Timeout-Ms": "soon"},
+            "/archive/x",
+            Reason.MALFORMED_REQUEST,
+        ),
+    ],
+)
+async def test_refusals_say_why_and_that_nothing_ran(headers, path, reason):
+    async with run_fleet(("a", "archive", None)) as fleet:
+        url = f"http://{fleet.places[0].callers}{path}"
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url, headers=headers) as response:
+                body = await response.json()
+        seen = len(fleet.places[0].backend.seen)
+    assert response.status == reason.status
+    assert response.content_type == "application/problem+json"
+    assert response.headers["Primroseglade-Verdict"] == "not run"
+    assert body["reason"] == reason.code
+    assert body["verdict"] == "not run"
+    assert seen == 0
+
+
+HEAD = f"POST /archive/x HTTP/1.1\r\nhost: n\r\nauthorization: Bearer {KEY}\r\n"
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        HEAD + "content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        HEAD + "content-length: 3\r\ncontent-length: 4\r\n\r\nabcd",
+        HEAD + "content-length: nine\r\n\r\n",
+        HEAD + "transfer-encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+        HEAD + "x-injected: a\rprimroseglade-verdict: b\r\n\r\n",
+        HEAD + "bad header: a\r\n\r\n",
+        HEAD + "x-huge: " + "x" * 70_000 + "\r\n\r\n",
+        "NONSENSE\r\n\r\n",
+    ],
+    ids=[
+        "both framings",
+        "two lengths",
+        "no number",
+        "chunked not last",
+        "carriage return in a value",
+        "space in a name",
+        "huge head",
+        "not http",
+    ],
+)
+async def test_ambiguous_framing_is_refused_and_forwards_nothing(request_bytes):
+    """A proxy in front and the backend server read a request's length differently.
+
+    What one takes for the body, the other takes for a further request that was never
+    checked. The node refuses and closes, and the backend server sees nothing.
+    """
+    async with run_fleet(("a", "archive", None)) as fleet:
+        smuggled = request_bytes + "GET /archive/smuggled HTTP/1.1\r\nhost: n\r\n\r\n"
+        answer = await send_raw(fleet.places[0].callers, smuggled.encode())
+        seen = [item.target for item in fleet.places[0].backend.seen]
+    assert answer.startswith((b"HTTP/1.1 400", b"HTTP/1.1 431"))
+    assert answer.count(b"HTTP/1.1 ") == 1
+    assert b"primroseglade-verdict: not run" in answer
+    assert seen == []
+
+
+async def test_body_cut_short_is_not_forwarded():
+    async with run_fleet(("a", "archive", None)) as fleet:
+        request = HEAD + "content-length: 100\r\n\r\nonly this"
+        host, port = fleet.places[0].callers.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(request.encode())
+        await writer.drain()
+        writer.close()
+        node = fleet.places[0].node
+        await fleet.wait(
+            lambda: (
+                node.metrics.read(
+                    "calls_total", listener="callers", outcome="cancelled"
+                )
+                == 1
+            )
+        )
+        assert not fleet.places[0].backend.seen
+
+
+@pytest.mark.parametrize("size", [1_000, 500_000])
+@pytest.mark.parametrize("entry", [0, 1], ids=["own backend", "relayed"])
+async def test_answer_that_breaks_off_is_never_passed_for_whole(size, entry):
+    """A sweeper downloads a photo; the imagery server dies in the middle of it.
+
+    The answer's first half has been sent on already. Were it ended properly, half a
+    photo would be stored as the whole one.
+    """
+    behaviour = Behaviour(answer_bytes=size)
+    behaviour.cut_answers = 100
+    async with run_fleet(("a", "archive", behaviour), ("b", "other", None)) as fleet:
+        async with Client([fleet.places[entry].callers], KEY, attempts=1) as client:
+            with pytest.raises(Refusal) as caught:
+                await client.call("archive", "/photo", "POST")
+    assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+
+async def test_caller_that_leaves_cancels_the_call():
+    """A dispatcher closes the page; nobody waits for the answer any more."""
+    slow = Behaviour(work=30)
+    async with run_fleet(("a", "archive", slow)) as fleet:
+        place = fleet.places[0]
+        async with Client([place.callers], KEY) as client:
+            call = asyncio.create_task(client.call("archive", "/x"))
+            await fleet.wait(lambda: len(place.backend.seen) == 1)
+            call.cancel()
+            await fleet.wait(lambda: place.backend.seen[0].cancelled)
+        await fleet.wait(lambda: place.node.backend.queue.in_flight == 0)
+
+
+async def test_deadline_ends_a_call_and_says_that_it_may_have_run():
+    slow = Behaviour(work=30)
+    async with run_fleet(("a", "archive", slow), ("b", "other", None)) as fleet:
+        for place in fleet.places:
+            url = f"http://{place.callers}/archive/x"
+            headers = {
+                "Authorization": f"Bearer {KEY}",
+                "Primroseglade-Timeout-Ms": "200",
+            }
+            async with aiohttp.ClientSession() as session:
+                async with session.post(url, headers=headers) as response:
+                    body = await response.json()
+            assert response.status == 504
+            assert body["verdict"] == "may have run"
+        backend = fleet.places[0].backend
+        await fleet.wait(lambda: all(item.cancelled for item in backend.seen))
+
+
+async def test_planned_stop_cuts_off_no_call():
+    """A node is replaced while a certificate is being issued behind it."""
+    slow = Behaviour(work=0.5, spread=0)
+    async with run_fleet(("a", "archive", slow), ("a", "archive", slow)) as fleet:
+        place = fleet.places[0]
+        async with Client([place.callers], KEY) as client:
+            calls = [
+                asyncio.create_task(client.call("archive", f"/{n}", "POST"))
+                for n in range(10)
+            ]
+            await fleet.wait(lambda: len(place.backend.seen) > 0)
+            await fleet.stop(place)
+            replies = await asyncio.gather(*calls)
+            assert [reply.status for reply in replies] == [200] * 10
