Prove recalls, outages, cuts, silent connections and bounded retries under failure

Cause: the promises had no test that causes the failures they are for. Faults found and mended, each with its test: - halved retry tokens left none three hops down, so the last hop of a chain never retried; each relay now keeps one and sends the rest (six by default); - an instance without configuration told its age as infinite and failed to start from peers while the platform was down; - a slow service looked like silent connections: its calls were cut and sent elsewhere, which doubles its work. Calls that wait on new connections now tell slowness from silence. Also mended in the stand-ins: a probe counted as a call, cuts let answers of questions through that were under way, a refused nested call passed for served.

--- a/primroseglade/calls/backend.py
+++ b/primroseglade/calls/backend.py
@@ -29,11 +29,9 @@
     TRACEPARENT,
     WORKSPACE,
 )
+from .silence import SilenceWatch
 
 VERDICT = b"primroseglade-verdict"
-# A call is taken for stuck on a silent connection only when it waits this many times
-# longer than calls usually take: a slow service must not look like a dead link.
-SLOWER_THAN_USUAL = 4.0
 
 
 class Announcement:
@@ -103,6 +101,11 @@
             settings.limits.queue,
             settings.timeouts.queue,
         )
+        self._watch = SilenceWatch(
+            settings.timeouts.silence,
+            lambda: self._queue.limit.latency,
+            self._tell_silence,
+        )
 
     @property
     def announcement(self) -> Announcement | None:
@@ -262,13 +265,11 @@
             (TRACEPARENT, context.traceparent),
         ]
         head = build_head(call.method, call.target, pool.address, headers, call.body)
-        watch = asyncio.get_running_loop().call_later(
-            self._get_patience(), self._suspect, connection, pool, context.idempotent
-        )
+        watch = self._watch.start(connection, pool, context.idempotent)
         try:
             response = await connection.exchange(head, call.body, call.method == "HEAD")
         finally:
-            watch.cancel()
+            self._watch.end(watch)
         verdict = find_header(response.headers, VERDICT)
         if response.status in (429, 503) and verdict == b"not run":
             self._queue.limit.note_shed(time.monotonic())
@@ -279,36 +280,11 @@
             )
         return response
 
-    def _get_patience(self) -> float:
-        usual = SLOWER_THAN_USUAL * self._queue.limit.latency
-        return max(self._settings.timeouts.silence, usual)
-
-    def _suspect(self, connection: Connection, pool: Pool, idempotent: bool) -> None:
-        if not connection.first_byte and not connection.closed:
-            probe = self._probe(connection, pool, idempotent)
-            asyncio.get_running_loop().create_task(probe)
-
-    async def _probe(
-        self, connection: Connection, pool: Pool, idempotent: bool
-    ) -> None:
-        """Replace connections that are silent while a new one is answered.
-
-        Something between the two ends has forgotten the connection: what is sent on
-        it vanishes, and so would whatever is sent on others as old. Only a reused
-        connection can be of that kind; on a new one the silence is the backend
-        server's own, which the deadline bounds. A call that must not run twice goes
-        on waiting: its answer may yet come, and nothing would be won by giving up.
-        """
-        answered = await pool.probe()
-        if not answered or connection.first_byte or connection.closed:
-            return
-        if not connection.reused:
-            return
-        closed = pool.close_idle()
+    def _tell_silence(self, pool: Pool, idle_closed: int) -> None:
         self._metrics.silent_connections.inc()
-        self._journal.emit(BACKEND_SILENT, address=pool.address, idle_closed=closed)
-        if idempotent:
-            connection.close()
+        self._journal.emit(
+            BACKEND_SILENT, address=pool.address, idle_closed=idle_closed
+        )
 
     def _note(self, response: Response, started: float) -> None:
         now = time.monotonic()
--- a/primroseglade/calls/handles.py
+++ b/primroseglade/calls/handles.py
@@ -43,11 +43,11 @@
 def descend(parent: Context, idempotent: bool, importance: object) -> Context:
     """Return the context of a call nested in another.
 
-    The nested call takes half of the parent's retry tokens, rounded up, out of the
-    parent's: the sum over the whole tree stays what the root call began with.
+    The nested call takes its parent's retry tokens and gives back what it does not
+    spend: the sum over the whole tree stays what the root call began with. Of several
+    nested calls at once the first has them; halving would leave none three hops down.
     """
-    tokens = (parent.retry_tokens + 1) // 2
-    parent.retry_tokens -= tokens
+    tokens, parent.retry_tokens = parent.retry_tokens, 0
     span = generate_span_id()
     return Context(
         call=span,
--- a/primroseglade/calls/relay.py
+++ b/primroseglade/calls/relay.py
@@ -21,6 +21,7 @@
 )
 
 POOLS_KEPT = 256
+TOKENS_KEPT = 1
 
 
 class Relay:
@@ -41,9 +42,9 @@
     async def send(self, call: Call, member: Member) -> tuple[Answer, bytes]:
         """Send a call to a member's node.
 
-        Half of the call's retry tokens go along, and what is unused comes back with
-        the answer; where no answer comes, they are lost, so that none can be spent
-        twice. The other half stays for an attempt at another member.
+        All but one of the call's retry tokens go along, and what is unused comes back
+        with the answer; where no answer comes, they are lost, so that none can be
+        spent twice. The one that stays is for an attempt at another member.
 
         Returns:
             The answer, and the load that came with it.
@@ -59,7 +60,7 @@
         try:
             async with asyncio.timeout(context.remaining):
                 connection = await pool.acquire()
-                carried = context.retry_tokens // 2
+                carried = max(0, context.retry_tokens - TOKENS_KEPT)
                 headers = [
                     *call.headers,
                     (CONTEXT, self._seal.write(context, member.instance, carried)),
--- a/primroseglade/fleet/control.py
+++ b/primroseglade/fleet/control.py
@@ -184,6 +184,7 @@
         try:
             await self._network.pass_through(address, timeout)
             answer = await send(raw, timeout=timeout)
+            await self._network.pass_through(address, timeout)
             sealed = self._sealer.open(answer, method, nonce)
             self._metrics.bytes.labels("in").inc(len(answer))
             return reply_type.FromString(sealed.body)
--- a/primroseglade/fleet/gossip.py
+++ b/primroseglade/fleet/gossip.py
@@ -34,6 +34,8 @@
 # News is held this long, so that one message carries what arrives together.
 GATHER_SECONDS = 0.01
 COMPARE_EVERY = 10
+# Told for a configuration that has never been known to be fresh.
+OLDEST_SECONDS = 1e6
 
 OnOffset = Callable[[int, float, str], None]
 
@@ -188,7 +190,7 @@
     async def _exchange(
         self, address: str, compare: bool = False, receiver: str = ""
     ) -> None:
-        next_offset, age = self._get_offset()
+        next_offset, age = self._read_offset()
         request = pb.ExchangeRequest(
             sender=self._members.own.to_proto(),
             updates=self._take_updates(),
@@ -216,7 +218,7 @@
             updates = [self._members.to_proto(member) for member in differing]
         else:
             updates = self._take_updates()
-        next_offset, age = self._get_offset()
+        next_offset, age = self._read_offset()
         return pb.ExchangeReply(
             sender=self._members.own.to_proto(),
             updates=updates,
@@ -253,6 +255,11 @@
             not isinstance(reply, BaseException) and reply.answered for reply in replies
         )
 
+    def _read_offset(self) -> tuple[int, float]:
+        """Return the configuration's next offset, and its age as it can be told."""
+        next_offset, age = self._get_offset()
+        return next_offset, min(age, OLDEST_SECONDS)
+
     def _take_updates(self) -> list[pb.Member]:
         updates = self._members.take_updates(UPDATES_A_MESSAGE)
         return [self._members.to_proto(member) for member in updates]
--- a/primroseglade/platform/log.py
+++ b/primroseglade/platform/log.py
@@ -120,6 +120,7 @@
             ) as response:
                 answer = await response.json(content_type=None)
                 status = response.status
+            await self._network.pass_through(self._address, timeout)
         except (TimeoutError, aiohttp.ClientError, ValueError) as error:
             reason = str(error) or type(error).__name__
             raise LogUnavailableError(f"the log does not answer: {reason}") from error
--- a/primroseglade/settings/node.py
+++ b/primroseglade/settings/node.py
@@ -114,7 +114,7 @@
         ),
         "retries": _group(
             "Bounds on repeated attempts.",
-            tokens=_count(3, "attempts", "Retries that one root call may cost in all."),
+            tokens=_count(6, "attempts", "Retries that one root call may cost in all."),
             share=_seconds(0.1, "Retries at this node, per first attempt.")
             | {"unit": "1"},
         ),
--- a/primroseglade/stand_ins/backend.py
+++ b/primroseglade/stand_ins/backend.py
@@ -181,6 +181,10 @@
         task = asyncio.current_task()
         assert task is not None
         scope["on_disconnect"] = task.cancel
+        if scope["method"] == "OPTIONS":
+            # A node asks whether anything answers here: no call, and no slot.
+            await _send_json(send, 200, {})
+            return
         target = scope["raw_path"].decode("latin-1")
         if scope["query_string"]:
             target += "?" + scope["query_string"].decode("latin-1")
@@ -251,7 +255,7 @@
         url = f"http://{self._node}{path}"
         async with self._session.get(url, headers=passed) as response:
             await response.read()
-            if response.status >= 500:
+            if response.status >= 400:
                 raise _NestedError(response.status)
 
     async def _answer(self, scope: Any, send: Any, seen: Seen, body: bytes) -> None:
--- /dev/null
+++ b/primroseglade/stand_ins/link.py
@@ -0,0 +1,92 @@
+"""Stand-in for what lies between two ends, and may forget their connections."""
+
+import asyncio
+
+from ..addresses import join_address, parse_address
+
+
+class Link:
+    """Forwards TCP to a target, until told to lose track of open connections.
+
+    Args:
+        target: ``IP:PORT``.
+    """
+
+    def __init__(self, target: str):
+        self._host, self._port = parse_address(target)
+        self._frozen: set[asyncio.Event] = set()
+        self._open: set[asyncio.Event] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+        self.address = ""
+
+    @property
+    def connections(self) -> int:
+        """Connections that are open and forwarded."""
+        return len(self._open)
+
+    async def start(self) -> None:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.address = join_address(*self._server.sockets[0].getsockname()[:2])
+
+    async def stop(self) -> None:
+        """Close everything."""
+        assert self._server is not None
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def forget_connections(self) -> int:
+        """Drop what is sent on the open connections from now on, without a sign."""
+        count = len(self._open)
+        for frozen in self._open:
+            frozen.set()
+        self._open.clear()
+        return count
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        frozen = asyncio.Event()
+        self._open.add(frozen)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self._host, self._port
+            )
+            try:
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(_pump(reader, far_writer, frozen))
+                    group.create_task(_pump(far_reader, writer, frozen))
+            finally:
+                far_writer.transport.abort()
+        except OSError:
+            return
+        except asyncio.CancelledError:
+            # The link stops; asyncio would log a cancelled connection as an error.
+            return
+        finally:
+            self._open.discard(frozen)
+            writer.transport.abort()
+
+
+async def _pump(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, frozen: asyncio.Event
+) -> None:
+    while True:
+        data = await reader.read(65536)
+        if frozen.is_set():
+            # Swallowed; the sender's kernel had its acknowledgement from this end.
+            if not data:
+                return
+            continue
+        if not data:
+            writer.write_eof()
+            return
+        writer.write(data)
+        await writer.drain()
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,251 @@
+"""The configuration: from the log, from peers, through outages and cuts."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from primroseglade.client import Client
+from primroseglade.document.records import Edit, SectionEdit
+from primroseglade.operator_client import OperatorClient
+from primroseglade.platform.log import CONFIGURATION, LogClient
+from primroseglade.publishing import build_edit, publish
+from primroseglade.stand_ins.backend import Behaviour
+from primroseglade.stand_ins.fleet import EmbeddedFleet
+from primroseglade.verdicts import Reason, Refusal, Verdict
+
+from .helpers import build_document, FAST, KEY
+
+RECALL = {"lost-tablet": {"keys": ["north-key"]}}
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(zones: str = "ab", retention: int = 100_000, **behaviour):
+    async with EmbeddedFleet(FAST, retention) as fleet:
+        await fleet.publish(**build_document(tuple(sorted(set(zones)))))
+        for zone in zones:
+            await fleet.add(zone, "archive", Behaviour(**behaviour))
+        await fleet.wait_ready()
+        yield fleet
+
+
+async def call_refused(address: str, **options) -> Refusal:
+    async with Client([address], KEY, timeout=3.0, attempts=1) as client:
+        with pytest.raises(Refusal) as caught:
+            await client.call("archive", "/x", **options)
+    return caught.value
+
+
+async def test_withdrawn_key_stops_everywhere_also_on_open_connections():
+    """A tablet is lost; its key is withdrawn while the thief's connection is open."""
+    async with run_fleet("aabb") as fleet:
+        clients = [Client([place.callers], KEY) for place in fleet.places]
+        for client in clients:
+            assert (await client.call("archive", "/x")).status == 200
+        offset = await fleet.publish(recalls=RECALL)
+        await fleet.wait_offset(offset + 1)
+        for client in clients:
+            with pytest.raises(Refusal) as caught:
+                await client.call("archive", "/x")
+            assert caught.value.reason is Reason.KEY_WITHDRAWN
+            assert caught.value.verdict is Verdict.NOT_RUN
+            await client.close()
+
+
+async def test_withdrawal_reaches_calls_that_wait_in_the_queue():
+    """All slots are taken; calls of the withdrawn key wait for theirs."""
+    async with run_fleet("a", slots=1, work=1.5, spread=0) as fleet:
+        place = fleet.places[0]
+        queue = place.node.backend.queue
+        queue._longest_wait = 5.0
+        async with Client([place.callers], KEY, attempts=1) as client:
+            calls = [
+                asyncio.create_task(client.call("archive", f"/{n}")) for n in range(4)
+            ]
+            await fleet.wait(lambda: queue.size == 3)
+            await fleet.publish(recalls=RECALL)
+            await fleet.wait(lambda: queue.size == 0)
+            # At once, and not when their turn came: the first is still at work.
+            assert place.backend.at_work == 1
+            results = await asyncio.gather(*calls, return_exceptions=True)
+        refused = [r for r in results if isinstance(r, Refusal)]
+    assert len(refused) == 3
+    assert {r.reason for r in refused} == {Reason.KEY_WITHDRAWN}
+    assert len(place.backend.seen) == 1
+
+
+async def test_withdrawal_stops_nested_calls_of_calls_in_flight():
+    """A call is at work for a withdrawn key, and is about to call the next service."""
+    async with EmbeddedFleet(FAST) as fleet:
+        services = ("archive", "dispatch")
+        await fleet.publish(**build_document(("a",), services=services))
+        await fleet.add("a", "archive")
+        nested = Behaviour(nested=("/archive/history",))
+        outer = await fleet.add("a", "dispatch", nested)
+        await fleet.wait_ready()
+        nested.swallow = True
+        async with Client([outer.callers], KEY, attempts=1) as client:
+            call = asyncio.create_task(client.call("dispatch", "/go"))
+            await fleet.wait(lambda: len(outer.backend.seen) == 1)
+            offset = await fleet.publish(recalls=RECALL)
+            await fleet.wait_offset(offset + 1)
+            nested.swallow = False
+            reply = await call
+        assert reply.status == 500
+        assert not fleet.places[0].backend.seen
+
+
+async def test_recalled_backend_servers_get_no_further_call():
+    async with run_fleet("ab") as fleet:
+        bad = fleet.places[0].backend.address
+        offset = await fleet.publish(recalls={"bad": {"backend_servers": [bad]}})
+        await fleet.wait_offset(offset + 1)
+        before = len(fleet.places[0].backend.seen)
+        async with Client([place.callers for place in fleet.places], KEY) as client:
+            for _ in range(20):
+                assert (await client.call("archive", "/x")).status == 200
+        assert len(fleet.places[0].backend.seen) == before
+
+
+async def test_zone_cut_off_from_the_platform_learns_from_other_zones():
+    """A link to the platform fails for one zone; a key is withdrawn meanwhile."""
+    async with run_fleet("aabb") as fleet:
+        fleet.cut_zone("b", from_platform=True, from_zones=False)
+        offset = await fleet.publish(recalls=RECALL)
+        await fleet.wait_offset(offset + 1)
+        refusal = await call_refused(fleet.places[3].callers)
+    assert refusal.reason is Reason.KEY_WITHDRAWN
+
+
+async def test_zone_cut_off_from_everything_goes_on_and_catches_up():
+    """Split's island zone loses all links; sweepers there go on; then it heals."""
+    async with run_fleet("aabb") as fleet:
+        fleet.cut_zone("b", from_platform=True, from_zones=True)
+        offset = await fleet.publish(recalls=RECALL)
+        async with Client([fleet.places[2].callers], KEY, attempts=3) as client:
+            assert (await client.call("archive", "/x")).status == 200
+        status = await fleet.places[0].node.confirmer.ask(1.0)
+        names = {p.node.settings.instance for p in fleet.places if p.zone == "b"}
+        assert set(status.silent) == names
+        assert not status.is_everywhere(offset + 1)
+        fleet.heal()
+        await fleet.wait_offset(offset + 1)
+        refusal = await call_refused(fleet.places[2].callers)
+    assert refusal.reason is Reason.KEY_WITHDRAWN
+
+
+async def test_workspace_may_choose_to_stop_when_the_configuration_is_old():
+    async with run_fleet("aabb") as fleet:
+        node = fleet.nodes[0]
+        known = node.configuration.document.sections["workspaces/north"].value
+        await fleet.publish(workspaces={"north": known | {"stale_after": 1.0}})
+        await fleet.wait_offset(2)
+        fleet.cut_zone("b", from_platform=True, from_zones=True)
+        await fleet.wait(lambda: fleet.places[2].node.configuration.age > 1.1)
+        refusal = await call_refused(fleet.places[2].callers)
+    assert refusal.reason is Reason.CONFIGURATION_STALE
+    assert refusal.verdict is Verdict.NOT_RUN
+
+
+async def test_new_instance_starts_from_peers_while_the_platform_is_down():
+    async with run_fleet("aa") as fleet:
+        fleet.log.faults.outage = True
+        seeds = [place.node.listeners["control"] for place in fleet.places]
+        place = await fleet.add("a", "archive", seeds=seeds)
+        assert place.node.configuration.next_offset == 1
+        await fleet.wait_ready()
+        async with Client([place.callers], KEY) as client:
+            assert (await client.call("archive", "/x")).status == 200
+
+
+async def test_new_instance_without_platform_or_peers_refuses_as_not_run():
+    async with EmbeddedFleet(FAST) as fleet:
+        fleet.log.faults.outage = True
+        place = await fleet.add("a")
+        refusal = await call_refused(place.callers)
+    assert refusal.reason is Reason.CONFIGURATION_MISSING
+    assert refusal.verdict is Verdict.NOT_RUN
+
+
+async def test_state_outlives_the_records_that_made_it():
+    """The platform keeps records for a limited time; an instance starts after that."""
+    fast_snapshots = FAST | {"fleet": FAST["fleet"] | {"snapshot": 1.0}}
+    async with EmbeddedFleet(fast_snapshots, retention=4) as fleet:
+        await fleet.publish(**build_document(("a",)))
+        await fleet.add("a", "archive")
+        await fleet.wait_ready()
+        for number in range(3):
+            await fleet.publish(recalls={f"r{number}": {"keys": [f"k{number}"]}})
+        topic = fleet.log.get_topic(CONFIGURATION)
+        await fleet.wait(lambda: topic.first > 0)
+        place = await fleet.add("a", "archive")
+        await fleet.wait(lambda: place.node.configuration.ready)
+        document = place.node.configuration.document
+        assert document.find_key_id("north-key") is not None
+        assert {"recalls/r0", "recalls/r1", "recalls/r2"} <= set(document.sections)
+
+
+async def test_forged_snapshot_is_not_taken():
+    """Someone with write access to the log, but not the fleet's secret, plants one."""
+    async with EmbeddedFleet(FAST, retention=1) as fleet:
+        await fleet.publish(**build_document(("a",)))
+        body = {"id": "x", "next_offset": 1, "part": 0, "parts": 1, "sections": {}}
+        forged = {"format": 1, "snapshot": body, "mac": "0" * 64}
+        await fleet.log.append(CONFIGURATION, forged)
+        place = await fleet.add("a")
+        assert not place.node.configuration.ready
+        numbers = [entry["event"] for entry in place.node.journal.recent]
+        assert 222 in numbers
+
+
+async def test_publisher_learns_the_verdict_although_the_answer_was_lost():
+    """The append took effect, its answer was lost, and the tool sends it again."""
+    async with run_fleet("a") as fleet:
+        fleet.log.faults.lose_answers = 1
+        log = LogClient(fleet.log.address)
+        operator = fleet.nodes[0].listeners["operator"]
+        async with OperatorClient(operator) as client:
+            view = await client.get("/document")
+            edit = build_edit({"recalls/r": {"keys": ["k"]}}, view, "ana", None)
+            published = await publish(log, client, edit, wait=5.0)
+        await log.close()
+        assert published.accepted
+        records = fleet.log.get_topic(CONFIGURATION).records
+        assert [r.get("id") for r in records].count(edit.id) == 1
+
+
+async def test_publish_goes_through_an_outage_of_ten_appends():
+    async with run_fleet("a") as fleet:
+        fleet.log.faults.outage = True
+        log = LogClient(fleet.log.address)
+        operator = fleet.nodes[0].listeners["operator"]
+        async with OperatorClient(operator) as client:
+            view = await client.get("/document")
+            edit = build_edit({"recalls/r": {"keys": ["k"]}}, view, "ana", None)
+            running = asyncio.create_task(publish(log, client, edit, wait=15.0))
+            await fleet.wait(lambda: fleet.log.reads > 3)
+            fleet.log.faults.outage = False
+            published = await running
+        await log.close()
+    assert published.accepted
+
+
+async def test_calls_go_on_while_the_platform_is_down():
+    async with run_fleet("ab") as fleet:
+        fleet.log.faults.outage = True
+        async with Client([place.callers for place in fleet.places], KEY) as client:
+            for _ in range(50):
+                assert (await client.call("archive", "/x")).status == 200
+
+
+async def test_log_that_lost_its_end_does_not_turn_the_state_back():
+    """The platform restores an old copy of the log: it ends before the state."""
+    async with run_fleet("a") as fleet:
+        offset = await fleet.publish(recalls=RECALL)
+        await fleet.wait_offset(offset + 1)
+        del fleet.log.get_topic(CONFIGURATION).records[1:]
+        stale = Edit([SectionEdit("recalls/lost-tablet", None, None)], "old")
+        await fleet.log.append(CONFIGURATION, stale.to_value())
+        refusal = await call_refused(fleet.places[0].callers)
+        assert refusal.reason is Reason.KEY_WITHDRAWN
+        assert fleet.nodes[0].configuration.next_offset == offset + 1
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,342 @@
+"""Losses, pauses, silent connections, forged messages: what users see of them."""
+
+import asyncio
+import contextlib
+import json
+import time
+
+import aiohttp
+import pytest
+
+from primroseglade.calls.call import Context
+from primroseglade.calls.context import ContextSeal
+from primroseglade.client import Client
+from primroseglade.fleet.control import ControlClient, PeerError
+from primroseglade.fleet.seal import Sealer, SealError
+from primroseglade.limits.importance import Importance
+from primroseglade.network import Network
+from primroseglade.observe.metrics import Metrics
+from primroseglade.observe.traces import TraceParent
+from primroseglade.proto import control_pb2 as pb
+from primroseglade.stand_ins.backend import BackendStandIn, Behaviour
+from primroseglade.stand_ins.fleet import EmbeddedFleet
+from primroseglade.stand_ins.link import Link
+from primroseglade.verdicts import Reason, Refusal, Verdict
+
+from .helpers import build_document, FAST, KEY
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(zones: str = "ab", settings=FAST, **behaviour):
+    async with EmbeddedFleet(settings) as fleet:
+        await fleet.publish(**build_document(tuple(sorted(set(zones)))))
+        for zone in zones:
+            await fleet.add(zone, "archive", Behaviour(**behaviour))
+        await fleet.wait_ready()
+        yield fleet
+
+
+async def call_at_once(client: Client, count: int) -> list:
+    calls = [client.call("archive", f"/{number}") for number in range(count)]
+    return await asyncio.gather(*calls)
+
+
+async def test_instance_lost_without_a_word_costs_no_idempotent_call():
+    """A machine dies; sweepers who look records up must not notice."""
+    async with run_fleet("aab") as fleet:
+        async with Client([fleet.places[0].callers], KEY) as client:
+            await fleet.kill(fleet.places[1])
+            for _ in range(60):
+                assert (await client.call("archive", "/x")).status == 200
+        name = fleet.places[1].node.settings.instance
+        await fleet.wait(lambda: not fleet.nodes[0].members.get(name).reachable)
+
+
+async def test_draining_backend_server_gets_no_new_call_at_any_entry():
+    async with run_fleet("aabb") as fleet:
+        leaving = fleet.places[1]
+        await leaving.backend.drain()
+        name = leaving.node.settings.instance
+        await fleet.wait(
+            lambda: not any(n.members.get(name).serving for n in fleet.nodes)
+        )
+        before = len(leaving.backend.seen)
+        async with Client([place.callers for place in fleet.places], KEY) as client:
+            for _ in range(40):
+                assert (await client.call("archive", "/x")).status == 200
+        assert len(leaving.backend.seen) == before
+
+
+async def test_silent_connections_are_found_and_replaced():
+    """Something between node and backend server forgets their open connections.
+
+    What is sent on them vanishes without a sign, while new connections work. A
+    sweeper's look-up would hang until its deadline, and so would the next ones.
+    """
+    async with EmbeddedFleet(FAST) as fleet:
+        await fleet.publish(**build_document(("a",)))
+        place = await fleet.add("a")
+        backend = BackendStandIn("archive")
+        running = asyncio.create_task(backend.run())
+        await backend.wait_started()
+        link = Link(backend.address)
+        await link.start()
+        fields = {"service": "archive", "address": link.address, "connections": 8}
+        url = f"http://{place.node.listeners['backend']}/-/backend-server"
+        async with aiohttp.ClientSession() as session:
+            async with session.put(url, json=fields) as response:
+                assert response.status == 200
+        # One more node, for the retry to have somewhere to go.
+        await fleet.add("a", "archive")
+        await fleet.wait_ready()
+        async with Client([place.callers], KEY, timeout=8.0, attempts=1) as client:
+            await call_at_once(client, 8)
+            assert link.forget_connections() > 0
+            replies = await call_at_once(client, 8)
+            assert place.node.metrics.read("silent_connections_total") > 0
+            replies += await call_at_once(client, 8)
+        assert {reply.status for reply in replies} == {200}
+        backend.kill()
+        await link.stop()
+        await running
+
+
+async def test_non_idempotent_call_on_a_silent_connection_does_not_move():
+    """A payout is sent on a connection that nobody knows any more.
+
+    Whether it arrived cannot be known. It must not be sent again, and its verdict
+    must not be "not run".
+    """
+    async with EmbeddedFleet(FAST) as fleet:
+        await fleet.publish(**build_document(("a",)))
+        place = await fleet.add("a")
+        backend = BackendStandIn("archive")
+        running = asyncio.create_task(backend.run())
+        await backend.wait_started()
+        link = Link(backend.address)
+        await link.start()
+        fields = {"service": "archive", "address": link.address}
+        url = f"http://{place.node.listeners['backend']}/-/backend-server"
+        async with aiohttp.ClientSession() as session:
+            async with session.put(url, json=fields) as response:
+                assert response.status == 200
+        await fleet.add("a", "archive")
+        await fleet.wait_ready()
+        async with Client([place.callers], KEY, timeout=1.5) as client:
+            await call_at_once(client, 30)
+            link.forget_connections()
+            ids = [f"payout-{n}" for n in range(10)]
+            replies = await asyncio.gather(
+                *(
+                    client.call("archive", "/pay", "POST", headers={"X-Operation": i})
+                    for i in ids
+                ),
+                return_exceptions=True,
+            )
+        refused = [r for r in replies if isinstance(r, Refusal)]
+        seen = [
+            item.operation
+            for server in (backend, fleet.places[1].backend)
+            for item in server.seen
+            if item.operation
+        ]
+        assert refused
+        assert {r.verdict for r in refused} == {Verdict.MAY_HAVE_RUN}
+        assert len(seen) == len(set(seen))
+        backend.kill()
+        await link.stop()
+        await running
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_slow_call_is_not_taken_for_one_on_a_silent_connection(method):
+    """A certificate takes long to issue; its connection is an old one, and well.
+
+    Were it cut and the call sent elsewhere, a slow service would get each of its
+    slow calls twice, and be slower still.
+    """
+    async with run_fleet("aa", work=0.001) as fleet:
+        place = fleet.places[0]
+        url = f"http://{place.callers}/archive/x"
+        headers = {"Authorization": f"Bearer {KEY}"}
+        async with aiohttp.ClientSession() as session:
+
+            async def call() -> int:
+                async with session.request(method, url, headers=headers) as response:
+                    return response.status
+
+            await asyncio.gather(*(call() for _ in range(4)))
+            before = sum(len(p.backend.seen) for p in fleet.places)
+            for other in fleet.places:
+                other.backend.behaviour.work = 1.0
+            answers = await asyncio.gather(*(call() for _ in range(12)))
+        assert answers == [200] * 12
+        assert sum(len(p.backend.seen) for p in fleet.places) == before + 12
+
+
+async def test_retries_of_a_chain_are_bounded_however_it_fails():
+    """Every service of a deep chain refuses; each hop would like to try again.
+
+    Each relay keeps one token and sends the others on, so that of four at most two
+    are left at the last hop, where five instances refuse.
+    """
+    services = ("s0", "s1", "s2", "s3")
+    settings = FAST | {"retries": {"tokens": 4}}
+    async with EmbeddedFleet(settings) as fleet:
+        await fleet.publish(**build_document(("a",), services=services))
+        backends = []
+        for number, service in enumerate(services):
+            nested = (f"/s{number + 1}/x",) if number < 3 else ()
+            for _ in range(5 if service == "s3" else 2):
+                behaviour = Behaviour(nested=nested, work=0.001)
+                place = await fleet.add("a", service, behaviour)
+                backends.append(place.backend)
+        await fleet.wait_ready()
+        for backend in backends:
+            if backend.service == "s3":
+                backend.behaviour.shed_over = 0
+        async with Client([fleet.places[0].callers], KEY, attempts=1) as client:
+            for _ in range(10):
+                await client.call("s0", "/x")
+        relayed = sum(n.metrics.read("retries_total") for n in fleet.nodes)
+        per_root: dict[str, int] = {}
+        for backend in backends:
+            for item in backend.seen:
+                root = item.headers["traceparent"][3:35]
+                per_root[root] = per_root.get(root, 0) + 1
+    assert 0 < relayed <= 20
+    assert max(per_root.values()) <= len(services) + 4
+
+
+async def test_retries_stay_under_the_nodes_share_when_everything_fails():
+    """All backend servers shed; retries must not keep them overloaded."""
+    async with run_fleet("aaa", shed_over=0, work=0.001) as fleet:
+        node = fleet.places[0].node
+        async with Client([fleet.places[0].callers], KEY, attempts=1) as client:
+            for _ in range(200):
+                with pytest.raises(Refusal):
+                    await client.call("archive", "/x")
+        retries = node.metrics.read("retries_total")
+        assert retries <= 10 + 200 * node.settings.retries.share + 1
+        assert node.metrics.read("retries_denied_total", bound="share") > 0
+
+
+async def test_operation_repeated_in_another_zone_is_refused():
+    """A payout's answer is lost; the caller tries again through another zone."""
+    async with run_fleet("ab") as fleet:
+        headers = {
+            "Authorization": f"Bearer {KEY}",
+            "Idempotency-Key": "payout-1",
+            "Primroseglade-Attempt": "1",
+        }
+        async with aiohttp.ClientSession() as session:
+            url = f"http://{fleet.places[0].callers}/archive/pay"
+            async with session.post(url, headers=headers) as response:
+                assert response.status == 200
+            for place, verdict in zip(
+                fleet.places, ("ran", "may have run"), strict=True
+            ):
+                headers["Primroseglade-Attempt"] = "2"
+                url = f"http://{place.callers}/archive/pay"
+                async with session.post(url, headers=headers) as response:
+                    assert response.status == 409
+                    assert response.headers["Primroseglade-Verdict"] == verdict
+        assert sum(len(place.backend.seen) for place in fleet.places) == 1
+
+
+async def test_message_without_the_secret_is_refused_and_counted():
+    async with run_fleet("a") as fleet:
+        node = fleet.nodes[0]
+        intruder = ControlClient(
+            Sealer(b"another secret of thirty-two bytes", "x"), Metrics(), Network()
+        )
+        request = pb.ExchangeRequest(sender=pb.Member(instance="evil", control="1:1"))
+        with pytest.raises(PeerError):
+            await intruder.call(
+                node.listeners["control"], "Exchange", request, timeout=2.0
+            )
+        await intruder.close()
+        assert node.members.get("evil") is None
+        assert node.metrics.read("refused_messages_total", cause="forged") == 1
+
+
+def test_replayed_late_and_misdirected_messages_are_refused():
+    sender, receiver = Sealer(b"s" * 32, "one"), Sealer(b"s" * 32, "two")
+    raw, _ = sender.seal("Exchange", b"body", "two")
+    assert receiver.open(raw, "Exchange").body == b"body"
+    for opened, method, cause in (
+        (raw, "Exchange", "replayed"),
+        (sender.seal("Exchange", b"", "two")[0], "Vote", "misdirected"),
+        (sender.seal("Exchange", b"", "three")[0], "Exchange", "misdirected"),
+        (b"\xff\xff nonsense", "Exchange", "malformed"),
+        (b"", "Exchange", "forged"),
+    ):
+        with pytest.raises(SealError) as caught:
+            receiver.open(opened, method)
+        assert caught.value.cause == cause
+    old = pb.Sealed.FromString(raw)
+    old.sent_at_ms -= 120_000
+    old.mac = receiver._sign(old)
+    with pytest.raises(SealError) as caught:
+        receiver.open(old.SerializeToString(), "Exchange")
+    assert caught.value.cause == "late"
+
+
+def make_context(**changes) -> Context:
+    fields = {
+        "call": "b" * 16,
+        "trace": TraceParent("a" * 32, "b" * 16, False),
+        "workspace": "north",
+        "key": "north-key",
+        "importance": Importance.HIGH,
+        "deadline": time.monotonic() + 10,
+        "depth": 0,
+        "retry_tokens": 3,
+        "idempotent": True,
+    }
+    return Context(**(fields | changes))
+
+
+def test_relayed_context_cannot_be_forged_or_taken_by_another_instance():
+    """A backend server, or a caller, writes itself another workspace's context."""
+    writer = ContextSeal(b"s" * 32, "one")
+    value = writer.write(make_context(), "two", 1)
+    assert ContextSeal(b"s" * 32, "two").read(value).workspace == "north"
+    for reader, text in (
+        (ContextSeal(b"s" * 32, "three"), value),
+        (ContextSeal(b"t" * 32, "two"), value),
+        (ContextSeal(b"s" * 32, "two"), value[:-8] + b"AAAAAAAA"),
+        (ContextSeal(b"s" * 32, "two"), b"nonsense"),
+    ):
+        with pytest.raises(Refusal) as caught:
+            reader.read(text)
+        assert caught.value.reason is Reason.CONTEXT_INVALID
+        assert caught.value.verdict is Verdict.NOT_RUN
+
+
+async def test_only_nodes_reach_the_relay_and_only_handles_the_nested_listener():
+    async with run_fleet("a") as fleet:
+        listeners = fleet.nodes[0].listeners
+        async with aiohttp.ClientSession() as session:
+            for name, reason in (
+                ("relay", "context-invalid"),
+                ("backend", "handle-unknown"),
+            ):
+                url = f"http://{listeners[name]}/archive/x"
+                headers = {"Authorization": f"Bearer {KEY}"}
+                async with session.get(url, headers=headers) as response:
+                    assert response.status == 403
+                    assert json.loads(await response.read())["reason"] == reason
+        assert not fleet.places[0].backend.seen
+
+
+async def test_operator_address_asks_for_its_token():
+    settings = FAST | {"operator_token": "a token for operators"}
+    async with run_fleet("a", settings) as fleet:
+        url = f"http://{fleet.nodes[0].listeners['operator']}/status"
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url) as response:
+                assert response.status == 401
+            headers = {"Authorization": "Bearer a token for operators"}
+            async with session.get(url, headers=headers) as response:
+                assert response.status == 200
