Let the test of bounded retries see its guard taken out

Cause: with ten calls the node's share bound the retries before the tokens did. Change: four calls, whose bound by tokens (8) is under that by shares. Checked: without the token guard the test fails.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -196,7 +196,7 @@
             if backend.service == "s3":
                 backend.behaviour.shed_over = 0
         async with Client([fleet.places[0].callers], KEY, attempts=1) as client:
-            for _ in range(10):
+            for _ in range(4):
                 await client.call("s0", "/x")
         relayed = sum(n.metrics.read("retries_total") for n in fleet.nodes)
         per_root: dict[str, int] = {}
@@ -204,7 +204,7 @@
             for item in backend.seen:
                 root = item.headers["traceparent"][3:35]
                 per_root[root] = per_root.get(root, 0) + 1
-    assert 0 < relayed <= 20
+    assert 0 < relayed <= 4 * 2
     assert max(per_root.values()) <= len(services) + 4
 
 
