Throttle calls that are shed further on; turns for few, time for the critical; reference pages

Workspaces with few calls lost them to the clock while those with many took turns, and critical calls were refused by the same clock although their own demand fitted. Change: adaptive throttling by service, workspace and class in the hops' common order; the critical class and a workspace's only waiting call wait as long as they can still be answered; calls that cannot be done in time are given up while others wait. Limits that nobody announced measure their baseline anew at half the limit.

--- a/bench/registry.py
+++ b/bench/registry.py
@@ -21,6 +21,6 @@
 
 def load() -> dict[str, Bench]:
     """Import every benchmark and return them by name."""
-    from . import overhead, rates  # noqa: F401
+    from . import members, overhead, policy, rates, withdraw  # noqa: F401
 
     return _benches
--- a/primroseglade/calls/backend.py
+++ b/primroseglade/calls/backend.py
@@ -234,7 +234,9 @@
             self._note(response, started)
             headers = keep_answer_headers(response.headers)
             if response.complete:
-                return Answer(response.status, headers, connection.take_held()), False
+                answer = Answer(response.status, headers, connection.take_held())
+                answer.shed = call.context.shed and response.status >= 500
+                return answer, False
             streams = True
             stream = iterate_until(connection, call.context)
 
--- a/primroseglade/calls/call.py
+++ b/primroseglade/calls/call.py
@@ -24,6 +24,8 @@
         depth: 0 for a root call.
         retry_tokens: Retries that this call and those below it may still cost.
         idempotent: Whether running it twice is harmless.
+
+    ``shed`` is set when a call nested in this one was shed further on.
     """
 
     __slots__ = (
@@ -34,6 +36,7 @@
         "importance",
         "key",
         "retry_tokens",
+        "shed",
         "trace",
         "workspace",
     )
@@ -59,6 +62,7 @@
         self.depth = depth
         self.retry_tokens = retry_tokens
         self.idempotent = idempotent
+        self.shed = False
 
     @property
     def root(self) -> str:
@@ -151,9 +155,11 @@
         stream: Yields the body where it is not held; raises where it breaks off.
         close: Gives back what the answer holds on to; to be called in any case, since
             a stream that nobody starts to read does not end by itself.
+
+    ``shed`` says that the answer is an error because of a call that was shed.
     """
 
-    __slots__ = ("close", "headers", "held", "length", "status", "stream")
+    __slots__ = ("close", "headers", "held", "length", "shed", "status", "stream")
 
     def __init__(
         self,
@@ -170,6 +176,7 @@
         self.length = len(held) if held is not None else length
         self.stream = stream
         self.close = close
+        self.shed = False
 
 
 class InFlight:
--- a/primroseglade/calls/dispatch.py
+++ b/primroseglade/calls/dispatch.py
@@ -1,17 +1,21 @@
 """Sends a call to one backend server after another until one has answered."""
 
+import random
 import time
 from collections.abc import Callable
 
 from ..fleet.members import Member, Members
+from ..limits.throttle import Throttle
 from ..observe.events import Journal, PEER_EJECTED
 from ..observe.metrics import Metrics
-from ..verdicts import not_run, Reason, Refusal, RETRIED_ELSEWHERE, Verdict
+from ..verdicts import not_run, Reason, Refusal, RETRIED_ELSEWHERE, SHEDDING, Verdict
 from .backend import BackendServer
 from .call import Answer, Call
 from .relay import Relay
 from .routing import Router
 
+# Of these a throttled call is told one at random, so that callers spread.
+THROTTLED_RETRY_SECONDS = (0.5, 1.5)
 UNREACHED = frozenset({Reason.CONNECTION_LOST, Reason.ANSWER_BROKEN})
 
 
@@ -53,6 +57,7 @@
         backend: The backend server beside this node.
         relay: Reaches the others.
         share: The node's bound on retries.
+        throttle: Knows what is being shed further on.
         journal: Told of members that are left out.
         metrics: Counts.
     """
@@ -64,6 +69,7 @@
         backend: BackendServer,
         relay: Relay,
         share: RetryShare,
+        throttle: Throttle,
         journal: Journal,
         metrics: Metrics,
     ):
@@ -72,6 +78,7 @@
         self._backend = backend
         self._relay = relay
         self._share = share
+        self._throttle = throttle
         self._journal = journal
         self._metrics = metrics
 
@@ -85,6 +92,26 @@
         Raises:
             Refusal: The last one, with a verdict that holds for all attempts.
         """
+        if not self._throttle.admits(call.service, call.context):
+            self._metrics.throttled.inc()
+            raise not_run(
+                Reason.OVERLOADED,
+                "calls like this one are being shed further on",
+                random.uniform(*THROTTLED_RETRY_SECONDS),
+            )
+        try:
+            answer = await self._try_until_answered(call, still_allowed)
+        except Refusal as refusal:
+            if refusal.reason not in SHEDDING:
+                self._throttle.note_accepted(call.service, call.context)
+            raise
+        if not answer.shed:
+            self._throttle.note_accepted(call.service, call.context)
+        return answer
+
+    async def _try_until_answered(
+        self, call: Call, still_allowed: Callable[[], None]
+    ) -> Answer:
         self._share.note_first()
         refused: set[str] = set()
         verdict = Verdict.NOT_RUN
--- a/primroseglade/calls/entries.py
+++ b/primroseglade/calls/entries.py
@@ -18,7 +18,7 @@
     Tracer,
 )
 from ..settings.node import NodeSettings
-from ..verdicts import may_have_run, not_run, Reason, Refusal, Verdict
+from ..verdicts import may_have_run, not_run, Reason, Refusal, SHEDDING, Verdict
 from .backend import BackendServer
 from .call import Answer, Body, Call, Context, IDEMPOTENT_METHODS, InFlight
 from .context import ContextSeal
@@ -36,6 +36,7 @@
     LOAD,
     NODES,
     RETRY_TOKENS,
+    SHED,
     TIMEOUT_MS,
     TRACEPARENT,
 )
@@ -101,11 +102,12 @@
 class Progress:
     """How far a request came, for what is told of it afterwards."""
 
-    __slots__ = ("call", "service", "started", "trace", "workspace")
+    __slots__ = ("call", "service", "shed", "started", "trace", "workspace")
 
     def __init__(self) -> None:
         self.started = time.monotonic()
         self.call: Call | None = None
+        self.shed = False
         self.service = ""
         self.workspace = ""
         self.trace = ""
@@ -179,6 +181,7 @@
     async def _send_answer(
         self, exchange: HttpExchange, answer: Answer, progress: Progress
     ) -> None:
+        progress.shed = answer.shed
         try:
             await exchange.answer(answer, self._build_headers(progress))
         finally:
@@ -445,6 +448,8 @@
         if progress.call is not None:
             tokens = progress.call.context.retry_tokens
             headers.append((RETRY_TOKENS, b"%d" % tokens))
+        if progress.shed:
+            headers.append((SHED, b"1"))
         return headers
 
 
@@ -485,7 +490,11 @@
             answer = await self._dispatcher.dispatch(
                 call, lambda: self._check_key(context)
             )
+            parent.shed = parent.shed or answer.shed
             await self._send_answer(exchange, answer, progress)
+        except Refusal as refusal:
+            parent.shed = parent.shed or refusal.reason in SHEDDING
+            raise
         finally:
             give_back(parent, context)
             if span is not None:
--- a/primroseglade/calls/relay.py
+++ b/primroseglade/calls/relay.py
@@ -17,6 +17,7 @@
     keep_answer_headers,
     LOAD,
     RETRY_TOKENS,
+    SHED,
     TRACEPARENT,
 )
 
@@ -80,7 +81,9 @@
             load = find_header(response.headers, LOAD)
             headers = keep_answer_headers(response.headers)
             if response.complete:
-                return Answer(response.status, headers, connection.take_held()), load
+                answer = Answer(response.status, headers, connection.take_held())
+                answer.shed = bool(find_header(response.headers, SHED))
+                return answer, load
             streams = True
             stream = iterate_until(connection, context)
             kept = connection
--- a/primroseglade/limits/admission.py
+++ b/primroseglade/limits/admission.py
@@ -13,6 +13,10 @@
 
 SHORTEST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 5.0
+# A call may wait for so many calls to be served before it.
+TURNS_WAITED = 1.5
+# Calls differ: one that has less than this share of the usual time left is given up.
+DOOMED_SHARE = 0.9
 
 Refuse = Callable[[Context], Refusal | None]
 
@@ -130,9 +134,9 @@
     async def _wait(self, context: Context) -> float:
         loop = asyncio.get_running_loop()
         now = time.monotonic()
+        patience = self._get_patience(context)
         waiter = Waiter(context, loop.create_future(), now)
         self._add(waiter)
-        patience = min(self._longest_wait, context.remaining)
         timer = loop.call_later(patience, self._give_up, waiter)
         try:
             await waiter.turn
@@ -143,6 +147,22 @@
             timer.cancel()
         return time.monotonic() - now
 
+    def _get_patience(self, context: Context) -> float:
+        """Return how long a call may wait.
+
+        Most are better told at once to come back than kept. Two kinds wait as long as
+        they can still be answered in time. Before the critical class stand only the
+        few of its own kind. And a workspace's only waiting call is the next to go when
+        its turn comes round: refused by the clock, a workspace with few calls would
+        lose them to the turns of those with many.
+        """
+        alone = context.workspace not in self._classes[context.importance]
+        if alone or context.importance is Importance.CRITICAL:
+            return max(0.0, context.remaining - self._limit.latency)
+        # A queue of which no call lives to see its turn would be of no use.
+        usual = TURNS_WAITED * self._limit.latency
+        return min(max(self._longest_wait, usual), context.remaining)
+
     def _leave(self, waiter: Waiter) -> None:
         """Take out a call whose caller went away, or give its turn to the next."""
         if waiter.turn.done() and not waiter.turn.cancelled():
@@ -159,6 +179,8 @@
     def _build_refusal(self, context: Context) -> Refusal:
         if context.remaining <= 0:
             return not_run(Reason.DEADLINE_EXCEEDED, "the deadline passed in the queue")
+        if self._is_doomed(context):
+            return not_run(Reason.DEADLINE_EXCEEDED, "too little time was left")
         detail = f"{self._in_flight} calls at work, {self._size} waiting"
         return not_run(Reason.OVERLOADED, detail, self.estimate_retry_after())
 
@@ -182,7 +204,7 @@
             if level < context.importance:
                 return worst
             mine = len(queues.get(context.workspace, ())) + 1
-            if longest != context.workspace and len(queues[longest]) >= mine:
+            if longest != context.workspace and len(queues[longest]) > mine:
                 return worst
             if worst.priority > hash_root(context.root):
                 return worst
@@ -212,12 +234,22 @@
     def _let_go(self) -> None:
         while self._size and self._in_flight < self._limit.value:
             waiter = self._take_next()
-            if waiter.context.remaining <= 0:
+            if self._is_doomed(waiter.context):
                 waiter.turn.set_exception(self._build_refusal(waiter.context))
                 continue
             self._in_flight += 1
             waiter.turn.set_result(None)
 
+    def _is_doomed(self, context: Context) -> bool:
+        """Whether the deadline will pass before a call as usual is done.
+
+        Only asked while others wait: the slot is better used by one of them. With
+        free slots any call is let try, or a service that has become fast again
+        would never be seen to be.
+        """
+        needed = DOOMED_SHARE * self._limit.latency if self._size else 0.0
+        return context.remaining <= needed
+
     def _take_next(self) -> Waiter:
         queues = next(
             self._classes[level]
--- a/primroseglade/limits/concurrency.py
+++ b/primroseglade/limits/concurrency.py
@@ -8,8 +8,10 @@
 # Where no slots are announced: latency this many times the best known says that
 # calls wait inside the backend server.
 LATENCY_TOLERANCE = 2.0
-# The best known latency is forgotten slowly, so that a lasting change becomes normal.
-BASELINE_DRIFT = 0.002
+# The best known latency is measured anew after so many calls, at half the limit: a
+# lasting change has to become normal, but not the calls' own waiting at the limit.
+CALLS_A_BASELINE = 1000
+MEASURED_SHARE = 0.5
 SMOOTHING = 0.1
 
 
@@ -27,6 +29,9 @@
         self._limit = float(ceiling or start)
         self._baseline = 0.0
         self._latency = 0.0
+        self._until_measured = CALLS_A_BASELINE
+        self._measured_calls = 0
+        self._lowest = float("inf")
         self._decreased_at = -float("inf")
 
     @property
@@ -50,20 +55,39 @@
         if not self._latency:
             self._latency = self._baseline = seconds
         self._latency += SMOOTHING * (seconds - self._latency)
-        drift = BASELINE_DRIFT * (self._latency - self._baseline)
-        self._baseline = min(self._baseline + max(drift, 0.0), self._latency)
         used_up = in_flight >= self._limit - 1
-        if self._ceiling is None and self._waits_inside() and used_up:
+        if self._ceiling is not None:
+            if used_up:
+                self._increase()
+            return
+        self._measure(seconds)
+        if self._measured_calls or not used_up:
+            return
+        if self._latency > LATENCY_TOLERANCE * self._baseline:
             self._decrease(now)
-        elif used_up:
+        else:
             self._increase()
 
     def note_shed(self, now: float) -> None:
         """Learn from a call that the backend server refused."""
         self._decrease(now)
 
-    def _waits_inside(self) -> bool:
-        return self._latency > LATENCY_TOLERANCE * self._baseline
+    def _measure(self, seconds: float) -> None:
+        """Lower the limit now and then and take the shortest call for the baseline."""
+        if self._measured_calls:
+            self._lowest = min(self._lowest, seconds)
+            self._measured_calls -= 1
+            if not self._measured_calls:
+                self._baseline = self._lowest
+            return
+        self._baseline = min(self._baseline, self._latency)
+        self._until_measured -= 1
+        if self._until_measured <= 0:
+            self._until_measured = CALLS_A_BASELINE
+            self._limit = max(FLOOR, self._limit * MEASURED_SHARE)
+            # Calls that began before are still among the first of these.
+            self._measured_calls = 4 * self.value
+            self._lowest = float("inf")
 
     def _increase(self) -> None:
         self._limit += 1 / self._limit
--- /dev/null
+++ b/primroseglade/limits/throttle.py
@@ -0,0 +1,110 @@
+"""Refuses calls early which a place further on would shed.
+
+A call that is shed four hops down has used a slot at three. Each node therefore keeps,
+for each service, workspace and class, how many of its calls were shed lately, and lets
+only so many go that some are still shed: enough to see when the overload ends, and few
+enough that little work is wasted. This is the adaptive throttling of Google's "Site
+Reliability Engineering" (2016), chapter 21, with two changes: which calls are refused
+is decided by the order in which all hops shed, not by chance; and since classes and
+workspaces are counted apart, it follows the shares that the queue further on gives.
+"""
+
+import collections
+import math
+import time
+from collections.abc import Callable
+
+from ..calls.call import Context
+from .admission import hash_root
+from .importance import Importance
+
+# Calls are let go up to this multiple of those that were accepted.
+MULTIPLE = 2.0
+WINDOW_SECONDS = 0.5
+# Beyond that, so many a window: a workspace none of whose calls was accepted for a
+# while would otherwise never be let go again.
+PROBES = 1.0
+# Under this many calls in the window chance would decide.
+FEWEST_CALLS = 5.0
+HASHES = 1 << 32
+KEPT = 4096
+
+Key = tuple[str, str, Importance]
+
+
+class Window:
+    """Calls asked for and accepted lately, forgetting exponentially."""
+
+    __slots__ = ("accepted", "asked", "at")
+
+    def __init__(self, now: float):
+        self.asked = 0.0
+        self.accepted = 0.0
+        self.at = now
+
+    @property
+    def share(self) -> float:
+        """The share of calls to let go."""
+        return (MULTIPLE * self.accepted + PROBES) / self.asked
+
+    def forget(self, now: float) -> None:
+        """Let what lies back count less."""
+        factor = math.exp((self.at - now) / WINDOW_SECONDS)
+        self.asked *= factor
+        self.accepted *= factor
+        self.at = now
+
+
+class Throttle:
+    """What was shed lately, by service, workspace and class.
+
+    Args:
+        clock: Seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic):
+        self._clock = clock
+        self._windows: collections.OrderedDict[Key, Window] = collections.OrderedDict()
+
+    def admits(self, service: str, context: Context) -> bool:
+        """Count a call and decide whether it goes on."""
+        window = self._get_window(service, context)
+        window.asked += 1
+        if window.asked < FEWEST_CALLS:
+            return True
+        return hash_root(context.root) < window.share * HASHES
+
+    def note_accepted(self, service: str, context: Context) -> None:
+        """Note that a call was not shed, whatever else became of it."""
+        self._get_window(service, context).accepted += 1
+
+    def get_share(self, service: str, workspace: str, importance: Importance) -> float:
+        """Return the share of calls that would be let go now."""
+        window = self._windows.get((service, workspace, importance))
+        if window is None:
+            return 1.0
+        window.forget(self._clock())
+        if window.asked < FEWEST_CALLS:
+            return 1.0
+        return min(1.0, window.share)
+
+    def describe(self) -> dict[str, float]:
+        """Return the shares under one, for the operator address."""
+        shares = {}
+        for service, workspace, importance in list(self._windows):
+            share = self.get_share(service, workspace, importance)
+            if share < 1:
+                name = f"{service} {workspace} {importance.name.lower()}"
+                shares[name] = round(share, 3)
+        return shares
+
+    def _get_window(self, service: str, context: Context) -> Window:
+        key = (service, context.workspace, context.importance)
+        now = self._clock()
+        window = self._windows.get(key)
+        if window is None:
+            window = self._windows[key] = Window(now)
+            if len(self._windows) > KEPT:
+                self._windows.popitem(last=False)
+        window.forget(now)
+        return window
--- a/primroseglade/node.py
+++ b/primroseglade/node.py
@@ -26,6 +26,7 @@
 from .fleet.members import Member, Members, State
 from .fleet.seal import Sealer
 from .fleet.stream import MembershipStream
+from .limits.throttle import Throttle
 from .listener import Listener
 from .network import Network
 from .observe.decisions import Decisions
@@ -226,6 +227,7 @@
                 "reads_log": self._reader.is_reader(),
             },
             "backend_server": self._backend.to_dict(),
+            "throttled": self._throttle.describe(),
             "rates_held": self._holder.describe(),
             "members": sorted(
                 (member.to_dict() for member in self._members),
@@ -371,6 +373,7 @@
             self._metrics,
         )
         self._router = Router(self._members)
+        self._throttle = Throttle()
         self._relay = Relay(settings, seal, self._network)
         dispatcher = Dispatcher(
             self._members,
@@ -378,6 +381,7 @@
             self._backend,
             self._relay,
             RetryShare(settings.retries.share),
+            self._throttle,
             self._journal,
             self._metrics,
         )
--- a/primroseglade/observe/metrics.py
+++ b/primroseglade/observe/metrics.py
@@ -45,6 +45,9 @@
         self.retries_denied = self._counter(
             "retries_denied_total", "Retries not made, by what ran out.", ["bound"]
         )
+        self.throttled = self._counter(
+            "throttled_total", "Calls refused early, as they would be shed further on."
+        )
         self.queue_seconds = Histogram(
             "primroseglade_queue_seconds",
             "Wait in the admission queue.",
--- /dev/null
+++ b/primroseglade/reference.py
@@ -0,0 +1,98 @@
+"""Writes the reference pages of ``docs/`` from the code: ``python -m
+primroseglade.reference docs``; a test checks that they are current."""
+
+import pathlib
+import sys
+from typing import Any
+
+from .document.schema import SCHEMAS
+from .observe.events import CATALOGUE
+from .observe.metrics import Metrics
+from .settings.node import SCHEMA
+from .verdicts import Reason
+
+MADE = "This page is written by `python -m primroseglade.reference docs`.\n"
+
+
+def render_events() -> str:
+    """Return the catalogue of events."""
+    lines = ["# Events", "", MADE]
+    lines.append(
+        "A node logs numbered events with fields, as text or as JSON lines (setting "
+        "`log/format`). Numbers are stable.\n"
+    )
+    lines += ["| number | level | text | meaning |", "| --- | --- | --- | --- |"]
+    for event in sorted(CATALOGUE.values(), key=lambda item: item.number):
+        lines.append(
+            f"| {event.number} | {event.level} | {event.text} | {event.meaning} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+def render_metrics() -> str:
+    """Return the list of metrics."""
+    lines = ["# Metrics", "", MADE]
+    lines.append("Served at `/metrics` of a node's operator address.\n")
+    lines += ["| name | type | meaning |", "| --- | --- | --- |"]
+    for name, kind, text in sorted(Metrics().describe()):
+        lines.append(f"| `{name}` | {kind} | {text} |")
+    return "\n".join(lines) + "\n"
+
+
+def render_settings() -> str:
+    """Return the settings of a node and the fields of the document."""
+    lines = ["# Settings and the document", "", MADE, "## Settings of a node", ""]
+    lines += ["| path | default | unit | meaning |", "| --- | --- | --- | --- |"]
+    required = set(SCHEMA["required"])
+    lines += _render_fields("", SCHEMA["properties"], required)
+    lines += ["", "## Sections of the document", ""]
+    for kind, schema in SCHEMAS.items():
+        lines += [f"### {kind}/NAME", "", schema["description"], ""]
+        lines += ["| field | default | unit | meaning |", "| --- | --- | --- | --- |"]
+        lines += _render_fields("", schema["properties"], set(schema["required"]))
+        lines.append("")
+    return "\n".join(lines).rstrip() + "\n"
+
+
+def render_refusals() -> str:
+    """Return the reasons with which calls are refused."""
+    lines = ["# Refusals", "", MADE]
+    lines += ["| reason | status | title |", "| --- | --- | --- |"]
+    for reason in Reason:
+        lines.append(f"| `{reason.code}` | {reason.status} | {reason.title} |")
+    return "\n".join(lines) + "\n"
+
+
+def _render_fields(path: str, fields: dict[str, Any], required: set[str]) -> list[str]:
+    lines = []
+    for name, field in fields.items():
+        place = f"{path}/{name}"
+        items = field.get("items", {})
+        nested = field.get("properties") or items.get("properties")
+        default = "required" if name in required else field.get("default", "")
+        shown = "" if nested and default in ({}, []) else default
+        unit = field.get("unit", "")
+        text = field.get("description", "")
+        lines.append(f"| `{place}` | {shown} | {unit} | {text} |")
+        if nested:
+            inner = set(field.get("required") or items.get("required") or ())
+            lines += _render_fields(place, nested, inner)
+    return lines
+
+
+PAGES = {
+    "EVENTS.md": render_events,
+    "METRICS.md": render_metrics,
+    "REFUSALS.md": render_refusals,
+    "SETTINGS.md": render_settings,
+}
+
+
+def write_pages(folder: str) -> None:
+    """Write every page into a folder."""
+    for name, render in PAGES.items():
+        pathlib.Path(folder, name).write_text(render(), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    write_pages(sys.argv[1] if len(sys.argv) > 1 else "docs")
--- a/primroseglade/settings/node.py
+++ b/primroseglade/settings/node.py
@@ -93,7 +93,7 @@
             ),
             peer_connections=_count(64, "connections", "To each other node's relay."),
             slots=_count(
-                20, "calls", "First concurrency limit where no slots are announced."
+                4, "calls", "First concurrency limit where no slots are announced."
             ),
             queue=_count(200, "calls", "Waiting calls at the most."),
         ),
--- a/primroseglade/verdicts.py
+++ b/primroseglade/verdicts.py
@@ -77,6 +77,10 @@
 )
 
 
+# Reasons that say that a place had more calls than it could serve.
+SHEDDING = frozenset({Reason.DEADLINE_EXCEEDED, Reason.OVERLOADED})
+
+
 class Refusal(Exception):  # noqa: N818 - an answer to a caller, not a fault
     """A call that got no answer of a backend server.
 
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,203 @@
+"""Admission beside a backend server: who goes, who waits, who is refused."""
+
+import asyncio
+import time
+
+import pytest
+
+from primroseglade.calls.call import Context
+from primroseglade.limits.admission import AdmissionQueue
+from primroseglade.limits.concurrency import ConcurrencyLimit
+from primroseglade.limits.importance import Importance
+from primroseglade.limits.throttle import Throttle
+from primroseglade.observe.traces import TraceParent
+from primroseglade.verdicts import Reason, Refusal, Verdict
+
+
+def make_context(
+    workspace: str = "north",
+    importance: Importance = Importance.NORMAL,
+    root: int = 1,
+    seconds: float = 60.0,
+) -> Context:
+    trace = TraceParent(f"{root:032x}", "b" * 16, False)
+    deadline = time.monotonic() + seconds
+    return Context("c", trace, workspace, "k", importance, deadline, 0, 0, True)
+
+
+def build_queue(slots: int = 1, capacity: int = 10, wait: float = 30.0):
+    return AdmissionQueue(ConcurrencyLimit(slots, slots), capacity, wait)
+
+
+async def line_up(queue: AdmissionQueue, contexts: list[Context]) -> list[asyncio.Task]:
+    """Take the only slot, and let the others wait in this order."""
+    await queue.acquire(make_context("first"))
+    tasks = []
+    for context in contexts:
+        tasks.append(asyncio.create_task(queue.acquire(context)))
+        await asyncio.sleep(0)
+    return tasks
+
+
+async def serve_all(queue: AdmissionQueue, tasks: list[asyncio.Task]) -> list[int]:
+    """Give the slot back again and again; return the order in which calls went."""
+    order = []
+    while queue.size:
+        queue.release()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        order += [n for n, t in enumerate(tasks) if t.done() and n not in order]
+    return order
+
+
+async def test_important_calls_go_first_whatever_stands_before_them():
+    """Emergency dispatch is called while a hundred look-ups wait."""
+    queue = build_queue()
+    contexts = [make_context() for _ in range(5)]
+    contexts.append(make_context("dispatch", Importance.CRITICAL))
+    tasks = await line_up(queue, contexts)
+    assert (await serve_all(queue, tasks))[0] == 5
+
+
+async def test_full_queue_gives_up_the_least_important_call():
+    queue = build_queue(capacity=2)
+    contexts = [make_context(importance=Importance.LOW, root=n) for n in (1, 2)]
+    tasks = await line_up(queue, contexts)
+    vip = asyncio.create_task(queue.acquire(make_context("x", Importance.CRITICAL)))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    refused = [task for task in tasks if task.done()]
+    assert len(refused) == 1
+    assert refused[0].exception().reason is Reason.OVERLOADED
+    assert refused[0].exception().verdict is Verdict.NOT_RUN
+    assert not vip.done()
+    with pytest.raises(Refusal):
+        await queue.acquire(make_context("y", Importance.LOW, root=9))
+    queue.release()
+    await vip
+
+
+async def test_workspaces_take_turns():
+    """One tenant sends several times its part; the others' calls keep their share."""
+    queue = build_queue()
+    names = ["greedy"] * 6 + ["one", "two"]
+    tasks = await line_up(queue, [make_context(name) for name in names])
+    order = [names[n] for n in await serve_all(queue, tasks)]
+    assert set(order[:3]) == {"greedy", "one", "two"}
+
+
+async def test_full_queue_gives_up_a_call_of_the_workspace_with_most():
+    queue = build_queue(capacity=4)
+    names = ["greedy"] * 3 + ["one"]
+    tasks = await line_up(queue, [make_context(name) for name in names])
+    other = asyncio.create_task(queue.acquire(make_context("two")))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert sum(task.done() for task in tasks[:3]) == 1
+    assert not tasks[3].done()
+    assert not other.done()
+    for task in (*tasks, other):
+        task.cancel()
+
+
+async def test_standing_queue_favours_the_calls_that_other_hops_favour():
+    """Each hop of a chain sheds some calls; shed by chance, few get through all."""
+    queue = build_queue(wait=0.0)
+    queue._longest_wait = 0.0
+    contexts = [make_context(root=root) for root in (50, 10, 40, 20)]
+    queue._get_patience = lambda _: 30.0
+    tasks = await line_up(queue, contexts)
+    await asyncio.sleep(0.01)
+    assert await serve_all(queue, tasks) == [1, 3, 2, 0]
+
+
+async def test_call_whose_deadline_passed_is_dropped_and_not_sent():
+    queue = build_queue()
+    tasks = await line_up(queue, [make_context(seconds=0.05)])
+    with pytest.raises(Refusal) as caught:
+        await tasks[0]
+    assert caught.value.verdict is Verdict.NOT_RUN
+    assert queue.size == 0
+    with pytest.raises(Refusal):
+        await queue.acquire(make_context(seconds=-1))
+
+
+async def test_refusal_tells_when_to_come_back():
+    queue = build_queue(capacity=1)
+    await line_up(queue, [make_context("a")])
+    with pytest.raises(Refusal) as caught:
+        await queue.acquire(make_context("a", root=99))
+    assert 0.1 <= caught.value.retry_after <= 10
+
+
+async def test_caller_that_leaves_the_line_gives_its_turn_to_the_next():
+    queue = build_queue()
+    tasks = await line_up(queue, [make_context(), make_context()])
+    tasks[0].cancel()
+    await asyncio.sleep(0)
+    queue.release()
+    await tasks[1]
+    assert queue.in_flight == 1
+
+
+async def test_turn_given_to_a_caller_that_leaves_at_that_moment_is_not_lost():
+    """The slot was handed over, and before the call goes on its caller is gone."""
+    queue = build_queue()
+    tasks = await line_up(queue, [make_context(), make_context()])
+    queue.release()
+    tasks[0].cancel()
+    await asyncio.gather(tasks[0], return_exceptions=True)
+    await tasks[1]
+    assert queue.in_flight == 1
+
+
+def test_limit_falls_on_sheds_and_never_grows_over_what_was_announced():
+    limit = ConcurrencyLimit(20, ceiling=10)
+    for moment in range(100):
+        limit.note_served(0.01, in_flight=limit.value, now=float(moment))
+    assert limit.value == 10
+    limit.note_shed(now=200.0)
+    limit.note_shed(now=200.01)
+    assert limit.value == 9
+    for moment in range(1000):
+        limit.note_shed(now=300.0 + moment)
+    assert limit.value == 1
+
+
+def test_limit_that_nobody_announced_is_learnt_from_latency():
+    """A backend server of 5 slots says nothing; over them calls wait inside it."""
+    limit = ConcurrencyLimit(4)
+    for step in range(2000):
+        in_flight = limit.value
+        seconds = 0.01 * max(1.0, in_flight / 5)
+        limit.note_served(seconds, in_flight, step * 0.1)
+    assert 4 <= limit.value <= 14
+
+
+def test_throttle_lets_probes_go_however_long_nothing_was_accepted():
+    """Everything is shed for a minute; when it ends, calls must be let go again."""
+    now = 0.0
+    throttle = Throttle(lambda: now)
+    passed = 0
+    for step in range(6000):
+        now = step * 0.01
+        passed += throttle.admits("s", make_context(root=step * 2654435761 % 2**32))
+    assert 50 < passed < 600
+    for step in range(6000, 6300):
+        now = step * 0.01
+        context = make_context(root=step * 2654435761 % 2**32)
+        if throttle.admits("s", context):
+            throttle.note_accepted("s", context)
+    assert throttle.get_share("s", "north", Importance.NORMAL) == 1.0
+
+
+def test_throttled_calls_are_those_that_every_hop_would_shed():
+    throttle = Throttle(lambda: 0.0)
+    for _ in range(100):
+        throttle.admits("s", make_context())
+    for _ in range(25):
+        throttle.note_accepted("s", make_context())
+    low, high = make_context(root=1 << 20), make_context(root=(1 << 32) - 1)
+    assert throttle.admits("s", low)
+    assert not throttle.admits("s", high)
+    assert throttle.admits("s", make_context("other", root=(1 << 32) - 1))
