--- a/bench/members.py
+++ b/bench/members.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import sys
 import time
 from typing import Any
 
@@ -196,6 +197,7 @@
     figures: dict[str, Any] = {}
     for size in SIZES:
         figures[f"{size} nodes"] = await measure_size(size)
+        print(f"measured {size} nodes", file=sys.stderr)
     for size in STATE_SIZES:
         figures[f"table of {size}"] = measure_state(size)
     return figures
--- a/primroseglade/calls/dispatch.py
+++ b/primroseglade/calls/dispatch.py
@@ -102,13 +102,17 @@
         try:
             answer = await self._try_until_answered(call, still_allowed)
         except Refusal as refusal:
-            if refusal.reason not in SHEDDING:
-                self._throttle.note_accepted(call.service, call.context)
+            self._note_end(call, refusal.reason in SHEDDING)
             raise
-        if not answer.shed:
-            self._throttle.note_accepted(call.service, call.context)
+        self._note_end(call, answer.shed)
         return answer
 
+    def _note_end(self, call: Call, shed: bool) -> None:
+        if shed:
+            self._throttle.note_shed(call.service, call.context)
+        else:
+            self._throttle.note_accepted(call.service, call.context)
+
     async def _try_until_answered(
         self, call: Call, still_allowed: Callable[[], None]
     ) -> Answer:
--- a/primroseglade/limits/throttle.py
+++ b/primroseglade/limits/throttle.py
@@ -67,16 +67,26 @@
         self._windows: collections.OrderedDict[Key, Window] = collections.OrderedDict()
 
     def admits(self, service: str, context: Context) -> bool:
-        """Count a call and decide whether it goes on."""
+        """Decide whether a call goes on.
+
+        Only calls whose end is known are counted. Those on their way would look like
+        shed ones, and a service that is slow but sheds nothing would be throttled.
+        """
         window = self._get_window(service, context)
-        window.asked += 1
-        if window.asked < FEWEST_CALLS:
+        if window.asked < FEWEST_CALLS or hash_root(context.root) < self._bound(window):
             return True
-        return hash_root(context.root) < window.share * HASHES
+        window.asked += 1
+        return False
 
     def note_accepted(self, service: str, context: Context) -> None:
         """Note that a call was not shed, whatever else became of it."""
-        self._get_window(service, context).accepted += 1
+        window = self._get_window(service, context)
+        window.asked += 1
+        window.accepted += 1
+
+    def note_shed(self, service: str, context: Context) -> None:
+        """Note that a call was shed, here or further on."""
+        self._get_window(service, context).asked += 1
 
     def get_share(self, service: str, workspace: str, importance: Importance) -> float:
         """Return the share of calls that would be let go now."""
@@ -98,6 +108,10 @@
                 shares[name] = round(share, 3)
         return shares
 
+    def _bound(self, window: Window) -> float:
+        """Return the hash under which calls go on."""
+        return window.share * HASHES
+
     def _get_window(self, service: str, context: Context) -> Window:
         key = (service, context.workspace, context.importance)
         now = self._clock()
--- a/primroseglade/node.py
+++ b/primroseglade/node.py
@@ -14,17 +14,15 @@
 from .calls.routing import Router
 from .document.fold import Outcome
 from .errors import InputError
-from .fleet.configuration import (
-    Configuration,
-    LogReader,
-    PeerPuller,
-    SnapshotWriter,
-)
+from .fleet.configuration import Configuration
 from .fleet.confirm import Confirmer
 from .fleet.control import ControlClient, ControlServer, PeerError
 from .fleet.gossip import Gossip
+from .fleet.log_reader import LogReader
 from .fleet.members import Member, Members, State
+from .fleet.puller import PeerPuller
 from .fleet.seal import Sealer
+from .fleet.snapshots import SnapshotWriter
 from .fleet.stream import MembershipStream
 from .limits.throttle import Throttle
 from .listener import Listener
--- a/primroseglade/observe/traces.py
+++ b/primroseglade/observe/traces.py
@@ -1,7 +1,9 @@
 """Spans, one a hop, with W3C trace context in and out."""
 
 import collections
+import contextlib
 import random
+from collections.abc import Iterator
 from typing import Any
 
 from opentelemetry import trace
@@ -10,6 +12,8 @@
 from opentelemetry.sdk.trace.sampling import ALWAYS_ON
 from opentelemetry.trace import NonRecordingSpan, Span, SpanContext, TraceFlags
 
+from ..verdicts import Refusal
+
 SAMPLED = 0x01
 TRACEPARENT_LENGTH = 55
 
@@ -107,6 +111,27 @@
         around = trace.set_span_in_context(NonRecordingSpan(context))
         return self._tracer.start_span(name, context=around)
 
+    @contextlib.contextmanager
+    def trace(self, name: str, parent: TraceParent, workspace: str) -> Iterator[str]:
+        """Run a block inside a span; a refusal that leaves it is noted in the span.
+
+        Yields:
+            The span's id in hex, empty where the call is not traced.
+        """
+        span = self.start(name, parent)
+        if span is None:
+            yield ""
+            return
+        span.set_attribute("primroseglade.workspace", workspace)
+        try:
+            yield f"{span.get_span_context().span_id:016x}"
+        except Refusal as refusal:
+            span.set_attribute("primroseglade.reason", refusal.reason.code)
+            span.set_attribute("primroseglade.verdict", refusal.verdict.value)
+            raise
+        finally:
+            span.end()
+
     def find(self, trace_id: str) -> list[dict[str, Any]]:
         """Return the kept spans of a trace, oldest first."""
         wanted = int(trace_id, 16)
