Refuse at once what is over its rate; find nodes again and again; spend loans first

Change: three rounds at most, none for 50 ms to whoever asks for more than its rate; a denial stands 20 ms at a node. A test hangs without it and passes with it. Cause 2: nodes that start at the same moment found an empty stream and stayed alone; zones that had forgotten each other would have stayed apart. Change: every node goes on looking. Cause 3: loans lapsed unspent while own tokens, which do not lapse, were granted.

--- a/bench/members.py
+++ b/bench/members.py
@@ -11,7 +11,7 @@
 from primroseglade.fleet.members import Member, Members
 from primroseglade.platform.log import CONFIGURATION
 
-from .overhead import find_ports
+from .overhead import choose_first_port
 from .processes import Process, run_processes, wait_page
 from .registry import bench
 
@@ -87,7 +87,7 @@
     """Start nodes, ten at a time."""
     nodes: list[Process] = []
     operators: list[str] = []
-    first = 20_000 + find_ports(1)[0] % 20_000
+    first = choose_first_port()
     for start in range(0, size, 10):
         batch = [
             processes.start_node(f"n{number}", f"z{number % ZONES}", first + number * 5)
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -98,6 +98,11 @@
     return ports
 
 
+def choose_first_port() -> int:
+    """Return the first of some hundred ports under those of outgoing connections."""
+    return 10_000 + find_ports(1)[0] % 20_000
+
+
 def build_edit() -> Edit:
     """Return the document of this benchmark; its rate is out of the way."""
     sections = {
@@ -118,7 +123,7 @@
     async with run_processes(fleet={"lease": 0.5, "grant": 0.5}) as processes:
         await processes.log.append(CONFIGURATION, build_edit().to_value())
         backend_port, relay_port = find_ports(2)
-        first = 20_000 + find_ports(1)[0] % 20_000
+        first = choose_first_port()
         one, near = await processes.start_node("one", "a", first)
         two, far = await processes.start_node("two", "a", first + 10)
         server = f"127.0.0.1:{backend_port}"
--- a/primroseglade/fleet/stream.py
+++ b/primroseglade/fleet/stream.py
@@ -1,7 +1,13 @@
-"""The membership stream in the log: how a new node finds others."""
+"""The membership stream in the log: how nodes find one another, again and again.
+
+Gossip keeps a fleet together that is together. It does not bring together nodes that
+started at the same moment and found an empty stream, nor zones that were cut off for so
+long that each side has forgotten the other. Both happen, so every node goes on looking.
+"""
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from ..addresses import parse_address
@@ -18,6 +24,11 @@
 RECORDS_READ = 200
 FIRST_RETRY_SECONDS = 0.2
 LONGEST_RETRY_SECONDS = 5.0
+FIRST_LOOK_SECONDS = 0.5
+CONTACTS_ASKED = 3
+
+
+Introduce = Callable[[list[str]], Awaitable[int]]
 
 
 class MembershipStream:
@@ -26,11 +37,13 @@
     Args:
         log: The platform's log.
         renewal: Seconds between two entries of a node that stays.
+        discovery: Seconds between two looks for nodes that this one has not met.
     """
 
-    def __init__(self, log: LogClient, renewal: float):
+    def __init__(self, log: LogClient, renewal: float, discovery: float):
         self._log = log
         self._renewal = renewal
+        self._discovery = discovery
 
     async def find_contacts(self) -> list[str]:
         """Return control addresses of the nodes that joined or renewed last.
@@ -63,6 +76,23 @@
             await self._append(_build_entry(own, "join"))
             await asyncio.sleep(self._renewal * random.uniform(0.8, 1.2))
 
+    async def keep_looking(self, introduce: Introduce) -> None:
+        """Ask some nodes of the stream for their tables: soon at first, then seldom.
+
+        Args:
+            introduce: Exchanges tables with the nodes at these control addresses.
+        """
+        pause = FIRST_LOOK_SECONDS
+        while True:
+            await asyncio.sleep(random.uniform(0.5, 1.5) * pause)
+            pause = min(self._discovery, pause * 2)
+            try:
+                contacts = await self.find_contacts()
+            except LogUnavailableError:
+                continue
+            chosen = random.sample(contacts, min(CONTACTS_ASKED, len(contacts)))
+            await introduce(chosen)
+
     async def leave(self, own: Member) -> None:
         """Tell of a planned stop; a stop does not wait for a log that is away."""
         try:
--- a/primroseglade/node.py
+++ b/primroseglade/node.py
@@ -156,6 +156,9 @@
         self._supervisor.start(
             "membership stream", lambda: self._stream.run(self._members.own)
         )
+        self._supervisor.start(
+            "discovery", lambda: self._stream.keep_looking(self._gossip.introduce)
+        )
         self._journal.emit(NODE_STARTED, **self.listeners)
 
     async def run(self, stopping: asyncio.Event) -> None:
@@ -304,7 +307,9 @@
             settings.fleet.snapshot,
             self._journal,
         )
-        self._stream = MembershipStream(self._log, settings.fleet.renewal)
+        self._stream = MembershipStream(
+            self._log, settings.fleet.renewal, settings.fleet.discovery
+        )
         self._confirmer = Confirmer(self._configuration, self._members, self._client)
         self._recorder = Recorder(self._members, self._client, Record())
         for part in (self._puller, self._gossip, self._confirmer, self._recorder):
@@ -462,4 +467,4 @@
         if rate is None:
             return None
         share = self._shares.share
-        return Entitlement(rate.per_second * share, rate.burst * share)
+        return Entitlement(rate.per_second * share, rate.burst * share, rate.per_second)
--- a/primroseglade/rates/charger.py
+++ b/primroseglade/rates/charger.py
@@ -1,6 +1,7 @@
 """Charges a node's root calls, with tokens asked for a little ahead."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -11,7 +12,7 @@
 from ..proto import control_pb2 as pb
 from ..verdicts import not_run, Reason
 from .clock import read_clock
-from .holder import Demand, Holder
+from .holder import Demand, Holder, OVER_FACTOR
 from .lease import get_partition, rank_candidates
 from .purse import Lot, Purse
 
@@ -22,6 +23,8 @@
 DEMAND_SECONDS = 0.5
 LOCAL_CANDIDATES = 2
 NO_HOLDER_RETRY_SECONDS = 1.0
+# A holder's denial stands for the node's other calls for this long.
+DENIAL_SECONDS = 0.02
 
 
 class Denial:
@@ -36,13 +39,14 @@
 class Wallet:
     """What a node has of one workspace's tokens."""
 
-    __slots__ = ("demand", "denial", "purse", "refill", "waiting")
+    __slots__ = ("demand", "denial", "denied_until", "purse", "refill", "waiting")
 
     def __init__(self) -> None:
         self.purse = Purse()
         self.demand = Demand(DEMAND_SECONDS)
         self.waiting = 0
         self.denial: Denial | None = None
+        self.denied_until = -math.inf
         self.refill: asyncio.Task[None] | None = None
 
 
@@ -82,7 +86,8 @@
         Raises:
             Refusal: ``not run``: no token, or no holder can be reached.
         """
-        if self._get_rate(workspace) is None:
+        rate = self._get_rate(workspace)
+        if rate is None:
             return
         wallet = self._wallets.get(workspace)
         if wallet is None:
@@ -92,6 +97,11 @@
             self._metrics.tokens.labels("spent").inc()
             self._refill_early(workspace, wallet)
             return
+        over = wallet.demand.read() > OVER_FACTOR * rate.per_second
+        if over and wallet.denial and read_clock() < wallet.denied_until:
+            # Said a moment ago: a workspace far over its rate must not cost a message
+            # for each of its calls.
+            self._raise_denial(wallet)
         await self._wait_for_token(workspace, wallet, patience)
         self._metrics.tokens.labels("spent").inc()
 
@@ -157,6 +167,7 @@
                 self._metrics.tokens.labels("granted").inc(reply.tokens)
                 return
             wallet.denial = Denial(reply.retry_after_ms / 1000)
+            wallet.denied_until = read_clock() + DENIAL_SECONDS
             return
         if not reached:
             wallet.denial = Denial(-1.0)
--- a/primroseglade/rates/holder.py
+++ b/primroseglade/rates/holder.py
@@ -22,6 +22,12 @@
 # Long enough that one call by itself is no demand.
 DEMAND_SECONDS = 2.0
 LONGEST_RETRY_SECONDS = 5.0
+# When enough was lent but another was quicker, the next loan is asked for at once.
+LOAN_ROUNDS = 3
+# After a round that brought less than a token to a workspace that asks for more than
+# this multiple of its rate, calls are refused without another round.
+OVER_FACTOR = 1.1
+DRY_SECONDS = 0.05
 # Grants made of loans that no node has reported spent; older ones have lapsed.
 PASSED_KEPT = 1024
 SHORTEST_RETRY_SECONDS = 0.05
@@ -73,10 +79,20 @@
 class Account:
     """One workspace's tokens in this zone: the bucket, and what others lent."""
 
-    __slots__ = ("borrowed", "borrowing", "bucket", "demand", "passed", "spent")
-
-    def __init__(self, bucket: Bucket):
+    __slots__ = (
+        "borrowed",
+        "borrowing",
+        "bucket",
+        "demand",
+        "dry_until",
+        "fleet_rate",
+        "passed",
+        "spent",
+    )
+
+    def __init__(self, bucket: Bucket, fleet_rate: float):
         self.bucket = bucket
+        self.fleet_rate = fleet_rate
         self.borrowed = Purse()
         self.demand = Demand(DEMAND_SECONDS)
         # Loans that went into a grant, until a node has spent it.
@@ -86,16 +102,18 @@
         # Spent parts of loans, until their lender is told.
         self.spent: dict[str, list[LoanPart]] = {}
         self.borrowing: asyncio.Task[bool] | None = None
+        self.dry_until = -math.inf
 
 
 class Entitlement:
-    """A workspace's rate and burst in one zone."""
+    """A workspace's rate and burst in one zone, and its rate over the whole fleet."""
 
-    __slots__ = ("burst", "rate")
+    __slots__ = ("burst", "fleet_rate", "rate")
 
-    def __init__(self, rate: float, burst: float):
+    def __init__(self, rate: float, burst: float, fleet_rate: float):
         self.rate = rate
         self.burst = burst
+        self.fleet_rate = fleet_rate
 
 
 class Holder:
@@ -144,6 +162,7 @@
                 del self._accounts[workspace]
             else:
                 account.bucket.change(entitlement.rate, entitlement.burst, now)
+                account.fleet_rate = entitlement.fleet_rate
 
     async def grant(self, request: pb.GrantRequest) -> pb.GrantReply:
         """Grant tokens, own ones first and then lent ones."""
@@ -159,16 +178,19 @@
         reply = self._take(account, request.wanted)
         if reply is not None:
             self._borrow_early(request.workspace, account)
-        while reply is None:
-            lent = await self._borrow(request.workspace, account, request.wanted)
+        rounds = 0
+        while reply is None and rounds < LOAN_ROUNDS and now >= account.dry_until:
+            rounds += 1
+            enough = await self._borrow(request.workspace, account, request.wanted)
             # The wait may have outlived the lease.
             if self._find_account(request.workspace) is not account:
                 return pb.GrantReply(holder=False)
             reply = self._take(account, request.wanted)
-            if not lent:
-                # With a loan others may have been quicker, and the next is for this
-                # call; without one there is nothing to be had anywhere.
-                break
+            if reply is None and not enough and self._is_over(account):
+                # Less than a whole token was lent. Asking on and on would only move
+                # fractions to and fro between zones, and the caller would wait for
+                # what it can be told at once.
+                account.dry_until = read_clock() + DRY_SECONDS
         return reply or self._build_denial(account)
 
     def holds(self, workspace: str) -> bool:
@@ -215,7 +237,8 @@
         bucket = account.bucket
         bucket.accrue(now)
         most = math.floor(min(wanted, max(1.0, bucket.level * LARGEST_SHARE)))
-        if bucket.level >= 1:
+        # Lent tokens first: they lapse, and the own ones do not.
+        if bucket.level >= 1 and account.borrowed.count(now) < 1:
             grant = bucket.grant(most, self._life, now)
             assert grant is not None
             return pb.GrantReply(
@@ -274,13 +297,17 @@
                     self._ask_for_loans(workspace, account, ahead)
                 )
 
+    def _is_over(self, account: Account) -> bool:
+        """Whether this zone alone is asked for more than the whole fleet may grant."""
+        return account.demand.read() > OVER_FACTOR * account.fleet_rate
+
     def _build_denial(self, account: Account) -> pb.GrantReply:
         wait = account.bucket.get_wait(1.0)
         wait = min(LONGEST_RETRY_SECONDS, max(SHORTEST_RETRY_SECONDS, wait))
         return pb.GrantReply(holder=True, retry_after_ms=int(wait * 1000))
 
     async def _borrow(self, workspace: str, account: Account, wanted: float) -> bool:
-        """Ask other zones, once for all who wait; whether any lent something."""
+        """Ask other zones, once for all who wait; whether they lent enough."""
         if account.borrowing is None or account.borrowing.done():
             missing = max(1.0, wanted) - account.bucket.level
             account.borrowing = asyncio.create_task(
@@ -314,7 +341,7 @@
             if lot is not None:
                 account.borrowed.add(lot)
                 missing -= lot.tokens
-        return bool(able)
+        return missing <= SMALLEST
 
     async def _ask_zone(
         self, zone: str, workspace: str, account: Account, wanted: float
@@ -357,7 +384,8 @@
             bucket = Bucket(
                 entitlement.rate, entitlement.burst, lease.taken_at, blocked_until
             )
-            account = self._accounts[workspace] = Account(bucket)
+            account = Account(bucket, entitlement.fleet_rate)
+            self._accounts[workspace] = account
         return account
 
 
--- a/primroseglade/settings/node.py
+++ b/primroseglade/settings/node.py
@@ -128,6 +128,9 @@
             lease=_seconds(3.0, "Life of a rate holder's lease."),
             grant=_seconds(1.0, "Life of granted rate tokens."),
             renewal=_seconds(3600.0, "Between two entries in the membership stream."),
+            discovery=_seconds(
+                120.0, "Between two looks into the membership stream for others."
+            ),
             snapshot=_seconds(3600.0, "Between two snapshots of the configuration."),
         ),
         "log": _group(
@@ -207,6 +210,7 @@
     """Periods of control traffic in seconds, and the number of log readers."""
 
     __slots__ = (
+        "discovery",
         "grant",
         "lease",
         "period",
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -340,3 +340,47 @@
             headers = {"Authorization": "Bearer a token for operators"}
             async with session.get(url, headers=headers) as response:
                 assert response.status == 200
+
+
+async def test_nodes_that_start_at_the_same_moment_find_one_another():
+    """The whole fleet is restarted at once; every node finds an empty stream."""
+    async with EmbeddedFleet(FAST) as fleet:
+        await fleet.publish(**build_document(("a", "b")))
+        await asyncio.gather(*(fleet.add(zone) for zone in "aabb"))
+        await fleet.wait_ready()
+
+
+async def test_zones_that_have_forgotten_each_other_come_together_again():
+    """Two regions lose each other for an hour; tombstones are long gone."""
+    settings = FAST | {"fleet": FAST["fleet"] | {"discovery": 0.5}}
+    async with run_fleet("ab", settings) as fleet:
+        fleet.cut_zone("b", from_platform=False, from_zones=True)
+        one, two = fleet.nodes
+        for node, other in ((one, two), (two, one)):
+            name = other.settings.instance
+            await fleet.wait(lambda n=node, m=name: not n.members.get(m).reachable)
+            node.members._forget(name)
+        fleet.heal()
+        await fleet.wait_ready()
+
+
+async def test_workspace_over_its_rate_is_told_so_at_once():
+    """A partner sends many times its rate through all nodes.
+
+    No zone has a whole token. The holders used to ask one another on and on for
+    fractions; callers waited for seconds and were told that no holder answers.
+    """
+    async with EmbeddedFleet(FAST) as fleet:
+        document = build_document(("a", "b"), per_second=2.0, burst=2.0)
+        await fleet.publish(**document)
+        for zone in "aabb":
+            await fleet.add(zone, "archive")
+        await fleet.wait_ready()
+        nodes = [place.callers for place in fleet.places]
+        reasons = set()
+        async with Client(nodes, KEY, timeout=5.0, attempts=1) as client:
+            for _ in range(20):
+                calls = [client.call("archive", f"/{n}") for n in range(10)]
+                replies = await asyncio.gather(*calls, return_exceptions=True)
+                reasons |= {r.reason for r in replies if isinstance(r, Refusal)}
+    assert reasons == {Reason.RATE_EXCEEDED}
