End stubborn tasks, rank zones once a change, wait for a token about to accrue

Python 3.11's asyncio.wait_for swallows a cancellation that meets its inner result; the child went on and the stop waited for it. Ruled out: gRPC's close and cut links (the supervisor's test hangs by itself). Change: cancel until the child has ended. Cause 2: at 12,000 members a walk through the table and 900 hashes stood in every charge, every lease round and every second of gossip; worked out at about 160 ms a second for 64 partitions. Change: members are indexed by zone, rankings are kept until their zone changes, neighbours are chosen again only when reachability changes. Cause 3: after a hand-over calls within their rate were refused while the new bucket filled. Change: wait up to 0.1 s for a token that accrues by then.

--- a/primroseglade/fleet/gossip.py
+++ b/primroseglade/fleet/gossip.py
@@ -76,6 +76,7 @@
         self._supervisor = Supervisor("gossip", journal)
         self._wakeups: dict[str, asyncio.Event] = {}
         self._pick_again = asyncio.Event()
+        self._pick_again.set()
         members.watch(self._tell)
 
     def register(self, server: ControlServer) -> None:
@@ -87,8 +88,10 @@
         """Keep one task for each neighbour; choose anew when the table changes."""
         try:
             while True:
-                self._pick_again.clear()
-                await self._match_neighbours()
+                if self._pick_again.is_set():
+                    # Not each time: ranking a large fleet takes tens of milliseconds.
+                    self._pick_again.clear()
+                    await self._match_neighbours()
                 self._members.expire(self._suspicion)
                 self._count()
                 try:
@@ -293,8 +296,5 @@
             self._journal.emit(event, member=member.instance, of_zone=member.zone)
 
     def _count(self) -> None:
-        counts = dict.fromkeys(State, 0)
-        for member in self._members:
-            counts[member.state] += 1
-        for state, count in counts.items():
+        for state, count in self._members.count_states().items():
             self._metrics.members.labels(state.name.lower()).set(count)
--- a/primroseglade/fleet/hashing.py
+++ b/primroseglade/fleet/hashing.py
@@ -3,6 +3,10 @@
 import hashlib
 from collections.abc import Iterable
 
+from .members import Members
+
+RANKINGS_KEPT = 4096
+
 
 def score(key: str, name: str) -> int:
     """Return a member's weight for a key; the highest weight ranks first."""
@@ -10,6 +14,34 @@
     return int.from_bytes(digest, "big")
 
 
+class ZoneRanking:
+    """Ranks a zone's members by keys, and remembers until the zone changes.
+
+    A zone of 900 members costs a millisecond to rank. Charging a call asks for the
+    ranking of every zone, and leases for that of every partition.
+
+    Args:
+        members: Who is in which zone.
+    """
+
+    def __init__(self, members: Members):
+        self._members = members
+        self._ranked: dict[tuple[str, str], tuple[int, list[str]]] = {}
+
+    def get(self, zone: str, key: str, most: int) -> list[str]:
+        """Return the first ``most`` reachable instances of a zone for a key."""
+        version = self._members.get_zone_version(zone)
+        known = self._ranked.get((zone, key))
+        if known is not None and known[0] == version:
+            return known[1]
+        names = [member.instance for member in self._members.get_reachable(zone)]
+        ranked = rank(f"{key}/{zone}", names, most)
+        if len(self._ranked) >= RANKINGS_KEPT:
+            self._ranked.clear()
+        self._ranked[zone, key] = (version, ranked)
+        return ranked
+
+
 def rank(key: str, names: Iterable[str], most: int | None = None) -> list[str]:
     """Return names by falling weight for the key.
 
--- a/primroseglade/fleet/log_reader.py
+++ b/primroseglade/fleet/log_reader.py
@@ -22,7 +22,7 @@
     OffsetGoneError,
 )
 from .configuration import Configuration
-from .hashing import rank
+from .hashing import ZoneRanking
 from .members import Members
 
 POLL_SECONDS = 5.0
@@ -55,6 +55,7 @@
         self._configuration = configuration
         self._log = log
         self._members = members
+        self._ranking = ZoneRanking(members)
         self._readers = readers
         self._journal = journal
         self._lost = False
@@ -78,8 +79,8 @@
     def is_reader(self) -> bool:
         """Whether this node is one of its zone's readers, as it sees the zone."""
         own = self._members.own
-        names = [m.instance for m in self._members.get_reachable(own.zone)]
-        return own.instance in rank("log-reader", names, self._readers)
+        readers = self._ranking.get(own.zone, "log-reader", self._readers)
+        return own.instance in readers
 
     async def start(self) -> None:
         """Take the state from the log, as far as it holds it.
--- a/primroseglade/fleet/members.py
+++ b/primroseglade/fleet/members.py
@@ -139,6 +139,9 @@
         self._watchers: list[OnChange] = []
         self._version = 0
         self._by_control: dict[str, str] = {own.control: own.instance}
+        self._zones: dict[str, dict[str, Member]] = {own.zone: {own.instance: own}}
+        self._zone_versions: dict[str, int] = {own.zone: 1}
+        self._ending: set[str] = set()
         self._buckets = [0] * BUCKETS
         self._mix_into_buckets(own)
 
@@ -166,13 +169,20 @@
         """Call ``watcher`` with each new report and the one before it."""
         self._watchers.append(watcher)
 
+    @property
+    def zones(self) -> list[str]:
+        """Availability zones with a member that may be asked."""
+        return [zone for zone, inside in self._zones.items() if inside]
+
+    def get_zone_version(self, zone: str) -> int:
+        """Return a number that grows when a zone's reachable members change."""
+        return self._zone_versions.get(zone, 0)
+
     def get_reachable(self, zone: str = "") -> list[Member]:
         """Return members that may be asked, of one zone or of all."""
-        return [
-            member
-            for member in self._table.values()
-            if member.reachable and zone in ("", member.zone)
-        ]
+        if zone:
+            return list(self._zones.get(zone, {}).values())
+        return [member for inside in self._zones.values() for member in inside.values()]
 
     def count_electorate(self, zone: str) -> tuple[int, int]:
         """Return how many members of a zone are reachable, and of how many.
@@ -180,10 +190,18 @@
         Dead members count in the whole for as long as they are remembered, so that
         a part of a zone that is cut off from the rest does not take itself for all.
         """
-        states = [m.state for m in self._table.values() if m.zone == zone]
-        whole = sum(state is not State.LEFT for state in states)
-        reachable = sum(state in (State.ALIVE, State.SUSPECT) for state in states)
-        return reachable, whole
+        reachable = len(self._zones.get(zone, {}))
+        ending = (self._table[instance] for instance in self._ending)
+        dead = sum(m.zone == zone and m.state is State.DEAD for m in ending)
+        return reachable, reachable + dead
+
+    def count_states(self) -> dict[State, int]:
+        """Return how many members there are in each state."""
+        counts = dict.fromkeys(State, 0)
+        for instance in self._ending:
+            counts[self._table[instance].state] += 1
+        counts[State.ALIVE] = len(self._table) - len(self._ending)
+        return counts
 
     def change_own(self, **changes: Any) -> None:
         """Change what this instance says of itself."""
@@ -224,7 +242,7 @@
     def expire(self, suspicion: float) -> None:
         """End suspicions older than ``suspicion`` seconds; forget old tombstones."""
         now = self._clock()
-        for member in list(self._table.values()):
+        for member in [self._table[instance] for instance in self._ending]:
             age = now - self._changed_at[member.instance]
             if member.state is State.SUSPECT and age > suspicion:
                 self.declare_dead(member.instance)
@@ -303,11 +321,36 @@
         if previous is not None:
             self._mix_into_buckets(previous)
         self._mix_into_buckets(member)
+        self._index(member, previous)
         if member.instance == self._own.instance:
             self._own = member
         for watcher in self._watchers:
             watcher(member, previous)
 
+    def _index(self, member: Member, previous: Member | None) -> None:
+        """Keep what is asked for often from costing a walk through the table."""
+        if member.state is State.ALIVE:
+            self._ending.discard(member.instance)
+        else:
+            self._ending.add(member.instance)
+        if previous is not None and previous.zone != member.zone:
+            self._drop_from_zone(previous)
+        if member.reachable:
+            inside = self._zones.setdefault(member.zone, {})
+            if member.instance not in inside:
+                self._raise_zone_version(member.zone)
+            inside[member.instance] = member
+        else:
+            self._drop_from_zone(member)
+
+    def _drop_from_zone(self, member: Member) -> None:
+        inside = self._zones.get(member.zone, {})
+        if inside.pop(member.instance, None) is not None:
+            self._raise_zone_version(member.zone)
+
+    def _raise_zone_version(self, zone: str) -> None:
+        self._zone_versions[zone] = self._zone_versions.get(zone, 0) + 1
+
     def _count_sends(self) -> int:
         return SENDS_FACTOR * math.ceil(math.log2(len(self._table) + 1))
 
@@ -318,6 +361,8 @@
 
     def _forget(self, instance: str) -> None:
         member = self._table.pop(instance)
+        self._ending.discard(instance)
+        self._drop_from_zone(member)
         self._mix_into_buckets(member)
         if self._by_control.get(member.control) == instance:
             del self._by_control[member.control]
--- a/primroseglade/node.py
+++ b/primroseglade/node.py
@@ -37,7 +37,7 @@
 from .platform.log import LogClient, LogUnavailableError
 from .rates.charger import Charger
 from .rates.holder import Entitlement, Holder
-from .rates.lease import Candidate, Elector, get_partition
+from .rates.lease import Candidate, Elector, get_partition, Partitions
 from .rates.shares import ShareGate
 from .settings.node import NodeSettings
 from .supervisor import Supervisor
@@ -319,12 +319,14 @@
 
     def _build_rates(self) -> None:
         settings = self._settings
-        elector = Elector(self._members, settings.fleet.lease)
+        partitions = Partitions(self._members)
+        elector = Elector(self._members, partitions, settings.fleet.lease)
         self._shares = ShareGate(
             settings.zone, self._configuration, self._confirmer, self._apply_shares
         )
         self._candidate = Candidate(
             self._members,
+            partitions,
             elector,
             self._client,
             self._get_partitions,
@@ -335,6 +337,7 @@
         )
         self._holder = Holder(
             self._members,
+            partitions,
             self._candidate,
             self._client,
             self._get_entitlement,
@@ -344,6 +347,7 @@
         self._holder.register(self._server)
         self._charger = Charger(
             self._members,
+            partitions,
             self._holder,
             self._client,
             lambda workspace: self._configuration.document.rates.get(workspace),
--- a/primroseglade/rates/charger.py
+++ b/primroseglade/rates/charger.py
@@ -13,7 +13,7 @@
 from ..verdicts import not_run, Reason
 from .clock import read_clock
 from .holder import Demand, Holder, OVER_FACTOR
-from .lease import get_partition, rank_candidates
+from .lease import get_partition, Partitions
 from .purse import Lot, Purse
 
 GRANT_TIMEOUT_SECONDS = 0.6
@@ -55,6 +55,7 @@
 
     Args:
         members: Where holders are.
+        partitions: Which instances they should be.
         holder: This instance's own, asked without a message.
         client: Asks others.
         get_rate: Returns a workspace's rate, None where it is not limited.
@@ -64,12 +65,14 @@
     def __init__(
         self,
         members: Members,
+        partitions: Partitions,
         holder: Holder,
         client: ControlClient,
         get_rate: Callable[[str], Rate | None],
         metrics: Metrics,
     ):
         self._members = members
+        self._partitions = partitions
         self._holder = holder
         self._client = client
         self._get_rate = get_rate
@@ -197,10 +200,10 @@
         """Return who may hold the workspace's tokens, this zone's first."""
         own = self._members.own.zone
         partition = get_partition(workspace)
-        names = rank_candidates(self._members, own, partition)[:LOCAL_CANDIDATES]
-        zones = sorted({m.zone for m in self._members.get_reachable()} - {own})
+        names = self._partitions.rank(own, partition)[:LOCAL_CANDIDATES]
+        zones = sorted(set(self._members.zones) - {own})
         random.shuffle(zones)
         for zone in zones:
-            names += rank_candidates(self._members, zone, partition)[:1]
+            names += self._partitions.rank(zone, partition)[:1]
         members = [self._members.get(name) for name in names]
         return [(m.control, m.instance) for m in members if m is not None]
--- a/primroseglade/rates/holder.py
+++ b/primroseglade/rates/holder.py
@@ -11,7 +11,7 @@
 from ..proto import control_pb2 as pb
 from .bucket import Bucket
 from .clock import read_clock
-from .lease import Candidate, get_partition, Lease, rank_candidates
+from .lease import Candidate, get_partition, Lease, Partitions
 from .purse import Lot, Purse, SMALLEST
 
 LOAN_TIMEOUT_SECONDS = 0.25
@@ -28,6 +28,8 @@
 # this multiple of its rate, calls are refused without another round.
 OVER_FACTOR = 1.1
 DRY_SECONDS = 0.05
+# A workspace within its rate waits so long for a token that is about to accrue.
+LONGEST_ACCRUAL_SECONDS = 0.1
 # Grants made of loans that no node has reported spent; older ones have lapsed.
 PASSED_KEPT = 1024
 SHORTEST_RETRY_SECONDS = 0.05
@@ -121,6 +123,7 @@
 
     Args:
         members: Where holders are.
+        partitions: Which instances they should be.
         candidate: Knows which leases are held.
         client: Asks other zones' holders.
         get_entitlement: Returns a workspace's rate here, None where it has none.
@@ -130,12 +133,14 @@
     def __init__(
         self,
         members: Members,
+        partitions: Partitions,
         candidate: Candidate,
         client: ControlClient,
         get_entitlement: Callable[[str], Entitlement | None],
         life: float,
     ):
         self._members = members
+        self._partitions = partitions
         self._candidate = candidate
         self._client = client
         self._get_entitlement = get_entitlement
@@ -191,6 +196,8 @@
                 # fractions to and fro between zones, and the caller would wait for
                 # what it can be told at once.
                 account.dry_until = read_clock() + DRY_SECONDS
+        if reply is None and not self._is_over(account):
+            reply = await self._wait_for_accrual(request, account)
         return reply or self._build_denial(account)
 
     def holds(self, workspace: str) -> bool:
@@ -297,6 +304,22 @@
                     self._ask_for_loans(workspace, account, ahead)
                 )
 
+    async def _wait_for_accrual(
+        self, request: pb.GrantRequest, account: Account
+    ) -> pb.GrantReply | None:
+        """Wait for the next token where it comes soon, as after a hand-over.
+
+        A new holder starts empty; refusing for that what is within the rate would be
+        wrong, and a few milliseconds are no matter.
+        """
+        wait = account.bucket.get_wait(1.0)
+        if wait > LONGEST_ACCRUAL_SECONDS:
+            return None
+        await asyncio.sleep(wait)
+        if self._find_account(request.workspace) is not account:
+            return pb.GrantReply(holder=False)
+        return self._take(account, request.wanted)
+
     def _is_over(self, account: Account) -> bool:
         """Whether this zone alone is asked for more than the whole fleet may grant."""
         return account.demand.read() > OVER_FACTOR * account.fleet_rate
@@ -320,7 +343,7 @@
     ) -> bool:
         """Ask every zone for its part, and then one after another for the rest."""
         own_zone = self._members.own.zone
-        zones = _shuffle({m.zone for m in self._members.get_reachable()} - {own_zone})
+        zones = _shuffle(set(self._members.zones) - {own_zone})
         if not zones:
             return False
         missing -= account.borrowed.count(read_clock())
@@ -351,7 +374,7 @@
             for part in account.spent.pop(zone, ())
         ]
         request = pb.LoanRequest(workspace=workspace, wanted=wanted, spent=spent)
-        names = rank_candidates(self._members, zone, get_partition(workspace))
+        names = self._partitions.rank(zone, get_partition(workspace))
         member = self._members.get(names[0]) if names else None
         if member is None:
             return None
--- a/primroseglade/rates/lease.py
+++ b/primroseglade/rates/lease.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from ..fleet.control import ControlClient, ControlServer, PeerError
-from ..fleet.hashing import rank
+from ..fleet.hashing import ZoneRanking
 from ..fleet.members import Members
 from ..observe.events import Journal, LEASE_LOST, LEASE_TAKEN
 from ..observe.metrics import Metrics
@@ -39,10 +39,19 @@
     return electors // 2 + 1 if electors < ELECTORS else ELECTORS - 1
 
 
-def rank_candidates(members: Members, zone: str, partition: int) -> list[str]:
-    """Return the zone's instances, the one that should hold the partition first."""
-    names = [member.instance for member in members.get_reachable(zone)]
-    return rank(f"rates/{zone}/{partition}", names, ELECTORS)
+class Partitions:
+    """Which instances of a zone should hold, and vote on, each partition.
+
+    Args:
+        members: Who is in which zone.
+    """
+
+    def __init__(self, members: Members):
+        self._ranking = ZoneRanking(members)
+
+    def rank(self, zone: str, partition: int) -> list[str]:
+        """Return the zone's electors, the one that should hold the partition first."""
+        return self._ranking.get(zone, f"rates/{partition}", ELECTORS)
 
 
 def hash_electors(electors: list[str]) -> int:
@@ -78,14 +87,20 @@
 
     Args:
         members: Whom there is to vote for, and who else votes.
+        partitions: Who the electors are.
         lease: Seconds that a vote lasts.
         clock: Seconds.
     """
 
     def __init__(
-        self, members: Members, lease: float, clock: Callable[[], float] = read_clock
+        self,
+        members: Members,
+        partitions: Partitions,
+        lease: float,
+        clock: Callable[[], float] = read_clock,
     ):
         self._members = members
+        self._partitions = partitions
         self._lease = lease
         self._clock = clock
         # A process that has just started may be an elector that voted, died and
@@ -129,7 +144,7 @@
         reachable, whole = self._members.count_electorate(zone)
         if 2 * reachable <= whole and whole > 1:
             return False
-        electors = rank_candidates(self._members, zone, ballot.partition)
+        electors = self._partitions.rank(zone, ballot.partition)
         if own.instance not in electors:
             return False
         return hash_electors(electors) == ballot.electors
@@ -146,6 +161,7 @@
 
     Args:
         members: The zone's nodes.
+        partitions: Who the electors are.
         elector: This instance's own vote.
         client: Asks other electors.
         get_partitions: Returns the partitions that any workspace is in.
@@ -158,6 +174,7 @@
     def __init__(
         self,
         members: Members,
+        partitions: Partitions,
         elector: Elector,
         client: ControlClient,
         get_partitions: Callable[[], set[int]],
@@ -167,6 +184,7 @@
         metrics: Metrics,
     ):
         self._members = members
+        self._partitions = partitions
         self._elector = elector
         self._client = client
         self._get_partitions = get_partitions
@@ -216,7 +234,7 @@
             lease = self._leases.pop(partition)
             self._journal.emit(LEASE_LOST, partition=partition, epoch=lease.epoch)
             self._elector.release(partition, self._members.own.instance)
-            electors.update(rank_candidates(self._members, zone, partition))
+            electors.update(self._partitions.rank(zone, partition))
         request = pb.VoteRequest(zone=zone, released=partitions)
         await asyncio.gather(*(self._send(name, request) for name in electors))
 
@@ -228,13 +246,13 @@
         others_turn = [
             partition
             for partition in self._leases
-            if rank_candidates(self._members, zone, partition)[:1]
+            if self._partitions.rank(zone, partition)[:1]
             != [self._members.own.instance]
         ]
         await self._release(others_turn)
         ballots: dict[int, tuple[pb.Ballot, list[str]]] = {}
         for partition in self._get_partitions():
-            electors = rank_candidates(self._members, zone, partition)
+            electors = self._partitions.rank(zone, partition)
             if not electors or electors[0] != self._members.own.instance:
                 continue
             lease = self.find_lease(partition)
--- a/primroseglade/supervisor.py
+++ b/primroseglade/supervisor.py
@@ -11,6 +11,7 @@
 # A child that lives this long has recovered: its next failure counts as a first.
 HEALTHY_SECONDS = 30.0
 FAILURES_IN_A_ROW = 20
+CANCEL_AGAIN_SECONDS = 0.2
 
 Work = Callable[[], Awaitable[None]]
 
@@ -49,9 +50,12 @@
     async def end(self, name: str) -> None:
         """Cancel one child and wait until it is gone."""
         task = self._tasks.get(name)
-        if task is not None:
+        while task is not None and not task.done():
+            # Once is not enough: `asyncio.wait_for` of Python 3.11 swallows a
+            # cancellation that meets its inner result, and the child then goes on.
+            # It showed as a node that hung at its stop, one time in some dozens.
             task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+            await asyncio.wait({task}, timeout=CANCEL_AGAIN_SECONDS)
 
     async def wait_failed(self) -> None:
         """Wait until a child has failed too often, and raise its error."""
