--- a/bench/registry.py
+++ b/bench/registry.py
@@ -21,6 +21,13 @@
 
 def load() -> dict[str, Bench]:
     """Import every benchmark and return them by name."""
-    from . import members, overhead, policy, rates, withdraw  # noqa: F401
+    from . import (  # noqa: F401
+        members,
+        overhead,
+        policy,
+        rates,
+        tables,
+        withdraw,
+    )
 
     return _benches
--- /dev/null
+++ b/bench/tables.py
@@ -0,0 +1,84 @@
+"""What the questions that a node asks of its table cost, at sizes to come."""
+
+import argparse
+import time
+from collections.abc import Callable
+from typing import Any
+
+from primroseglade.calls.routing import Router
+from primroseglade.document.fold import Fold
+from primroseglade.document.records import Edit, SectionEdit
+from primroseglade.fleet.hashing import rank
+from primroseglade.fleet.members import Member, Members
+from primroseglade.rates.lease import Partitions
+
+from .members import build_member
+from .registry import bench
+
+SIZES = (1000, 4000, 12000)
+EDITS = 2000
+ROUNDS = 20
+
+
+def measure(work: Callable[[], Any], rounds: int = ROUNDS) -> float:
+    """Return microseconds of processor time a run."""
+    work()
+    started = time.process_time()
+    for _ in range(rounds):
+        work()
+    return (time.process_time() - started) / rounds * 1e6
+
+
+def measure_table(size: int) -> dict[str, Any]:
+    """Ask a table of this size what a node asks of it."""
+    members = Members(Member("own", 1, zone="zone-0", control="10.255.0.1:1"))
+    for number in range(size):
+        members.merge(build_member(number))
+    partitions = Partitions(members)
+    router = Router(members)
+    names = [member.instance for member in members]
+
+    def rank_anew() -> None:
+        partitions._ranking._ranked.clear()
+        partitions.rank("zone-1", 3)
+
+    def route_anew() -> None:
+        router._version = -1
+        router.choose("service-3", set())
+
+    def merge_news() -> None:
+        known = members.get("archive-eu-1-5")
+        assert known is not None
+        members.merge(known.replace(sequence=known.sequence + 1))
+
+    return {
+        "zone ranked anew, us": measure(rank_anew),
+        "zone's ranking as kept, us": measure(
+            lambda: partitions.rank("zone-1", 3), 2000
+        ),
+        "neighbours chosen anew, us": measure(lambda: rank("own", names, 2), 5),
+        "services indexed anew, us": measure(route_anew),
+        "a call routed, us": measure(lambda: router.choose("service-3", set()), 2000),
+        "a member merged, us": measure(merge_news, 500),
+        "suspicions checked, us": measure(lambda: members.expire(3.0), 2000),
+    }
+
+
+def measure_fold() -> dict[str, Any]:
+    """Fold edits of one section among many."""
+    fold = Fold(b"s" * 32)
+    started = time.process_time()
+    for number in range(EDITS):
+        value = {"keys": [f"k{number}"], "note": "x" * 200}
+        edit = Edit([SectionEdit(f"recalls/r{number}", None, value)], "bench")
+        fold.apply(number, edit.to_value())
+    cost = (time.process_time() - started) / EDITS * 1e6
+    return {"an edit folded in, us": cost}
+
+
+@bench("tables")
+async def measure_tables(options: argparse.Namespace) -> dict[str, Any]:
+    """Measure tables of several sizes, and the fold."""
+    figures: dict[str, Any] = {f"{n} members": measure_table(n) for n in SIZES}
+    figures["the fold"] = measure_fold()
+    return figures
