--- a/bench/registry.py
+++ b/bench/registry.py
@@ -22,6 +22,7 @@
 def load() -> dict[str, Bench]:
     """Import every benchmark and return them by name."""
     from . import (  # noqa: F401
+        choices,
         members,
         overhead,
         policy,
--- a/primroseglade/calls/entries.py
+++ b/primroseglade/calls/entries.py
@@ -1,5 +1,6 @@
 """The three ways in: from callers, from other nodes, from the backend server."""
 
+import asyncio
 import time
 from typing import Protocol
 
@@ -98,7 +99,7 @@
         with self._tools.tracer.trace(name, trace, context.workspace) as span:
             context.call = span or context.call
             headers = keep_request_headers(exchange.headers)
-            body = await exchange.read_body()
+            body = await self._read_body(exchange, context)
             call = Call(
                 progress.service, exchange.method, target, headers, body, context
             )
@@ -108,6 +109,15 @@
             answer = await self._run(exchange, call)
             await self._send_answer(exchange, answer, progress)
 
+    async def _read_body(self, exchange: HttpExchange, context: Context) -> Body:
+        """Read a small body whole, for as long as the call may take at the most."""
+        try:
+            async with asyncio.timeout(context.remaining):
+                return await exchange.read_body()
+        except TimeoutError as error:
+            detail = "the body did not arrive before the deadline"
+            raise not_run(Reason.DEADLINE_EXCEEDED, detail) from error
+
     async def _run(self, exchange: HttpExchange, call: Call) -> Answer:
         operation = exchange.get_header(IDEMPOTENCY_KEY)
         if not operation or call.context.idempotent:
@@ -210,8 +220,9 @@
     def _build_headers(self, progress: Progress) -> Headers:
         headers = super()._build_headers(progress)
         headers.append((b"primroseglade-trace", progress.trace.encode()))
+        # Addresses are told to callers with a key only.
         nodes = self._router.find_nodes(progress.service, NODES_TOLD)
-        if nodes:
+        if nodes and progress.workspace:
             headers.append((NODES, ",".join(nodes).encode()))
         return headers
 
--- a/primroseglade/http_guard.py
+++ b/primroseglade/http_guard.py
@@ -1,5 +1,6 @@
 """Refuses requests whose framing could be read in two ways, before they are served."""
 
+import asyncio
 import functools
 
 import httptools
@@ -8,6 +9,8 @@
 from .answers import render_refusal
 from .verdicts import not_run, Reason, Refusal
 
+# Longest time for a request's head to arrive.
+HEAD_SECONDS = 10.0
 SINGLE_HEADERS = frozenset(
     {b"authorization", b"content-length", b"host", b"transfer-encoding"}
 )
@@ -22,9 +25,17 @@
     """
 
     header_bytes = 32768
+    _head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        super().connection_made(transport)
+        # uvicorn closes idle connections only after a first answer; one on which
+        # nothing is ever sent would stay, and thousands of them use up the sockets.
+        self._start_head_timer()
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
+        self._start_head_timer()
         self._head_size = 0
         self._seen: set[bytes] = set()
 
@@ -49,10 +60,12 @@
                 Reason.MALFORMED_REQUEST,
                 "both Transfer-Encoding and Content-Length are given",
             )
+        self._stop_head_timer()
         self.scope["cut_connection"] = self.transport.abort
         super().on_headers_complete()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._stop_head_timer()
         busy = self.cycle is not None and not self.cycle.response_complete
         on_disconnect = self.cycle.scope.get("on_disconnect") if busy else None
         super().connection_lost(exc)
@@ -75,6 +88,15 @@
         except httptools.HttpParserError as error:
             self._refuse(error)
 
+    def _start_head_timer(self) -> None:
+        self._stop_head_timer()
+        self._head_timer = self.loop.call_later(HEAD_SECONDS, self.transport.close)
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
     def _count(self, size: int) -> None:
         self._head_size += size
         if self._head_size > self.header_bytes:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 
+from primroseglade import http_guard
 from primroseglade.client import Client
 from primroseglade.stand_ins.backend import Behaviour
 from primroseglade.stand_ins.fleet import EmbeddedFleet
@@ -173,6 +174,26 @@
         assert not fleet.places[0].backend.seen
 
 
+@pytest.mark.parametrize("sent", [b"", b"POST /archive/x HTTP/1.1\r\nhost: n\r\n"])
+async def test_connection_without_a_whole_head_is_closed(sent, monkeypatch):
+    """Someone opens connections, sends little or nothing, and never closes them."""
+    monkeypatch.setattr(http_guard, "HEAD_SECONDS", 0.2)
+    async with run_fleet(("a", "archive", None)) as fleet:
+        assert await send_raw(fleet.places[0].callers, sent) == b""
+
+
+async def test_body_that_never_comes_is_given_up_at_the_deadline():
+    async with run_fleet(("a", "archive", None)) as fleet:
+        head = HEAD + "primroseglade-timeout-ms: 200\r\ncontent-length: 9\r\n\r\n"
+        host, port = fleet.places[0].callers.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head.encode())
+        line = await asyncio.wait_for(reader.readline(), 5)
+        writer.close()
+        assert b"504" in line
+        assert not fleet.places[0].backend.seen
+
+
 @pytest.mark.parametrize("size", [1_000, 500_000])
 @pytest.mark.parametrize("entry", [0, 1], ids=["own backend", "relayed"])
 async def test_answer_that_breaks_off_is_never_passed_for_whole(size, entry):
