Split long modules; registries apart from what registers; one reader of body parts

Cause: a look at the structure: two circles of imports through registries, modules of over 400 lines with two jobs, the same lines twice in the reading of bodies. Change: registries of commands and benches import nobody; accounts apart from the holder, the pool apart from the connection. No behaviour changed.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,12 +5,22 @@
 import json
 import sys
 
-from . import registry
+# Importing a benchmark registers it.
+from . import (  # noqa: F401
+    choices,
+    members,
+    overhead,
+    policy,
+    rates,
+    tables,
+    withdraw,
+)
+from .registry import get_benches
 
 
 def main() -> int:
     """Run one benchmark and print its figures."""
-    benches = registry.load()
+    benches = get_benches()
     parser = argparse.ArgumentParser(prog="python -m bench")
     parser.add_argument("name", choices=sorted(benches))
     parser.add_argument("--json", action="store_true", help="print one JSON value")
--- a/bench/choices.py
+++ b/bench/choices.py
@@ -9,7 +9,8 @@
 from blacksheep import Content, Request, Response
 
 from primroseglade.calls.call import Body
-from primroseglade.calls.connections import build_head, Pool
+from primroseglade.calls.connections import build_head
+from primroseglade.calls.pool import Pool
 from primroseglade.listener import build_application
 from primroseglade.stand_ins.backend import BackendStandIn, Behaviour
 
--- a/bench/registry.py
+++ b/bench/registry.py
@@ -19,16 +19,6 @@
     return register
 
 
-def load() -> dict[str, Bench]:
-    """Import every benchmark and return them by name."""
-    from . import (  # noqa: F401
-        choices,
-        members,
-        overhead,
-        policy,
-        rates,
-        tables,
-        withdraw,
-    )
-
+def get_benches() -> dict[str, Bench]:
+    """Return every registered benchmark by name."""
     return _benches
--- a/primroseglade/calls/backend.py
+++ b/primroseglade/calls/backend.py
@@ -19,7 +19,7 @@
 from ..settings.node import NodeSettings
 from ..verdicts import not_run, Reason, Refusal, Verdict
 from .call import Answer, Call, InFlight
-from .connections import build_head, Connection, iterate_until, Pool, Response
+from .connections import build_head, Connection, iterate_until, Response
 from .handles import Handles, refuse_withdrawn
 from .headers import (
     DEADLINE_MS,
@@ -29,6 +29,7 @@
     TRACEPARENT,
     WORKSPACE,
 )
+from .pool import Pool
 from .silence import SilenceWatch
 
 VERDICT = b"primroseglade-verdict"
--- a/primroseglade/calls/connections.py
+++ b/primroseglade/calls/connections.py
@@ -11,16 +11,11 @@
 
 import httptools
 
-from ..addresses import parse_address
-from ..network import Network
-from ..verdicts import may_have_run, not_run, Reason, Refusal, Verdict
+from ..verdicts import may_have_run, not_run, Reason, Refusal
 from .call import Body, Context
 from .headers import Headers
 
 HIGH_WATER_BYTES = 256 * 1024
-IDLE_SECONDS = 20.0
-PROBE_SECONDS = 1.0
-PROBE = b"OPTIONS * HTTP/1.1\r\nhost: probe\r\ncontent-length: 0\r\n\r\n"
 # A peer that vanished without closing, or a link that lost track of the connection:
 # the kernel finds the first kind within these seconds.
 KEEP_ALIVE_IDLE_SECONDS = 2
@@ -297,135 +292,6 @@
             self._ready.set_result(None)
 
 
-class Pool:
-    """Connections to one address.
-
-    Args:
-        address: ``IP:PORT``.
-        limit: Open connections at the most.
-        connect_timeout: Seconds to open one.
-        hold_bytes: Answers up to this size are waited for whole.
-        network: What can be reached.
-    """
-
-    def __init__(
-        self,
-        address: str,
-        limit: int,
-        connect_timeout: float,
-        hold_bytes: int,
-        network: Network | None = None,
-    ):
-        self._network = network or Network()
-        self._address = address
-        self._host, self._port = parse_address(address)
-        self._limit = limit
-        self._connect_timeout = connect_timeout
-        self._hold_bytes = hold_bytes
-        self._idle: list[Connection] = []
-        self._open = 0
-        self._freed = asyncio.Condition()
-
-    @property
-    def address(self) -> str:
-        """Where the connections lead."""
-        return self._address
-
-    @property
-    def open(self) -> int:
-        """How many connections there are."""
-        return self._open
-
-    async def acquire(self) -> Connection:
-        """Return a connection that carries no request.
-
-        Raises:
-            Refusal: ``not run``: none could be opened.
-        """
-        if self._network.is_cut(self._address):
-            return await self._dial()
-        connection = self._pop_idle()
-        if connection is not None:
-            return connection
-        if self._open >= self._limit:
-            async with self._freed:
-                await self._freed.wait_for(
-                    lambda: self._idle or self._open < self._limit
-                )
-            connection = self._pop_idle()
-            if connection is not None:
-                return connection
-        self._open += 1
-        try:
-            return await self._dial()
-        except BaseException:
-            self._open -= 1
-            raise
-
-    def release(self, connection: Connection) -> None:
-        """Give a connection back; it is kept where it can carry another request."""
-        if connection.reusable:
-            connection.idle_since = asyncio.get_running_loop().time()
-            self._idle.append(connection)
-        else:
-            self._discard(connection)
-        if self._open >= self._limit:
-            asyncio.get_running_loop().create_task(self._notify())
-
-    def close_idle(self) -> int:
-        """Close the connections that carry nothing and return how many there were."""
-        count = len(self._idle)
-        while self._idle:
-            self._discard(self._idle.pop())
-        return count
-
-    async def probe(self) -> bool:
-        """Whether the address answers on a new connection, within a second."""
-        try:
-            async with asyncio.timeout(PROBE_SECONDS):
-                reader, writer = await asyncio.open_connection(self._host, self._port)
-                try:
-                    writer.write(PROBE)
-                    return bool(await reader.read(1))
-                finally:
-                    writer.transport.abort()
-        except (TimeoutError, OSError):
-            return False
-
-    def _pop_idle(self) -> Connection | None:
-        oldest = asyncio.get_running_loop().time() - IDLE_SECONDS
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.reusable and connection.idle_since > oldest:
-                return connection
-            self._discard(connection)
-        return None
-
-    def _discard(self, connection: Connection) -> None:
-        connection.close()
-        self._open -= 1
-
-    async def _notify(self) -> None:
-        async with self._freed:
-            self._freed.notify()
-
-    async def _dial(self) -> Connection:
-        loop = asyncio.get_running_loop()
-        try:
-            await self._network.pass_through(self._address, self._connect_timeout)
-            async with asyncio.timeout(self._connect_timeout):
-                _, connection = await loop.create_connection(
-                    lambda: Connection(self._hold_bytes), self._host, self._port
-                )
-        except (TimeoutError, OSError) as error:
-            reason = str(error) or "timed out"
-            detail = f"no connection to {self._address}: {reason}"
-            raise Refusal(
-                Reason.CONNECTION_LOST, Verdict.NOT_RUN, detail, retry_after=1.0
-            ) from error
-        return connection
-
-
 async def iterate_until(
     connection: Connection, context: Context
 ) -> AsyncIterator[bytes]:
--- a/primroseglade/calls/exchange.py
+++ b/primroseglade/calls/exchange.py
@@ -142,17 +142,20 @@
         size = 0
         more = True
         while more:
-            message = await self._receive()
-            if message["type"] == "http.disconnect":
-                raise CallerGoneError
-            chunk = message.get("body", b"")
-            more = message.get("more_body", False)
+            chunk, more = await self._receive_chunk()
             chunks.append(chunk)
             size += len(chunk)
             if more and size > self._body_buffer:
                 return Body(None, None, self._stream(chunks, size))
         return Body(b"".join(chunks))
 
+    async def _receive_chunk(self) -> tuple[bytes, bool]:
+        """Return the next part of the body, and whether there is more."""
+        message = await self._receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError
+        return message.get("body", b""), message.get("more_body", False)
+
     async def _stream(
         self, first: list[bytes] | None = None, size: int = 0
     ) -> AsyncIterator[bytes]:
@@ -160,11 +163,7 @@
             yield chunk
         more = True
         while more:
-            message = await self._receive()
-            if message["type"] == "http.disconnect":
-                raise CallerGoneError
-            chunk = message.get("body", b"")
-            more = message.get("more_body", False)
+            chunk, more = await self._receive_chunk()
             size += len(chunk)
             if size > self._largest_body:
                 # Part of it has left already; closing tells the backend server.
--- a/primroseglade/calls/relay.py
+++ b/primroseglade/calls/relay.py
@@ -9,7 +9,7 @@
 from ..settings.node import NodeSettings
 from ..verdicts import may_have_run, not_run, Reason, Refusal
 from .call import Answer, Call
-from .connections import build_head, Connection, iterate_until, Pool, Response
+from .connections import build_head, Connection, iterate_until, Response
 from .context import ContextSeal
 from .headers import (
     CONTEXT,
@@ -20,6 +20,7 @@
     SHED,
     TRACEPARENT,
 )
+from .pool import Pool
 
 POOLS_KEPT = 256
 TOKENS_KEPT = 1
--- a/primroseglade/calls/silence.py
+++ b/primroseglade/calls/silence.py
@@ -4,7 +4,8 @@
 import time
 from collections.abc import Callable
 
-from .connections import Connection, Pool
+from .connections import Connection
+from .pool import Pool
 
 # A call is taken for stuck only when it waits this many times longer than calls
 # usually take: a slow service must not look like a dead link.
--- a/primroseglade/cli/config.py
+++ b/primroseglade/cli/config.py
@@ -14,7 +14,7 @@
 from ..platform.log import LogClient
 from ..publishing import build_edit, publish, Published, wait_everywhere
 from ..settings.reader import read_file
-from .commands import command
+from .registry import command
 
 
 def read_sections(path: str) -> dict[str, Any]:
--- a/primroseglade/cli/demo.py
+++ b/primroseglade/cli/demo.py
@@ -11,7 +11,7 @@
 from ..environment import Environment
 from ..exits import ExitStatus
 from ..observe.events import EventHandler
-from .commands import command
+from .registry import command
 
 
 @command("demo")
--- a/primroseglade/cli/key.py
+++ b/primroseglade/cli/key.py
@@ -7,7 +7,7 @@
 from ..document.document import digest_key
 from ..environment import Environment
 from ..exits import ExitStatus
-from .commands import command
+from .registry import command
 
 KEY_BYTES = 24
 
--- a/primroseglade/cli/load.py
+++ b/primroseglade/cli/load.py
@@ -14,7 +14,7 @@
 from ..environment import Environment
 from ..exits import ExitStatus
 from ..verdicts import Refusal
-from .commands import command
+from .registry import command
 
 LONGEST_US = 60_000_000
 DIGITS = 3
--- a/primroseglade/cli/node.py
+++ b/primroseglade/cli/node.py
@@ -9,7 +9,7 @@
 from ..node import Node
 from ..observe.events import EventHandler
 from ..settings.node import load_node_settings
-from .commands import command
+from .registry import command
 
 
 @command("node")
--- a/primroseglade/cli/stand_in.py
+++ b/primroseglade/cli/stand_in.py
@@ -7,8 +7,8 @@
 from ..exits import ExitStatus
 from ..stand_ins.backend import BackendStandIn, Behaviour
 from ..stand_ins.log import LogStandIn
-from .commands import command
 from .node import build_stop_event
+from .registry import command
 
 
 @command("stand-in log")
--- a/primroseglade/node.py
+++ b/primroseglade/node.py
@@ -35,8 +35,9 @@
 from .operations.recorder import Recorder
 from .operator_pages import build_operator_application
 from .platform.log import LogClient, LogUnavailableError
+from .rates.account import Entitlement
 from .rates.charger import Charger
-from .rates.holder import Entitlement, Holder
+from .rates.holder import Holder
 from .rates.lease import Candidate, Elector, get_partition, Partitions
 from .rates.shares import ShareGate
 from .settings.node import NodeSettings
--- a/primroseglade/rates/charger.py
+++ b/primroseglade/rates/charger.py
@@ -11,8 +11,9 @@
 from ..observe.metrics import Metrics
 from ..proto import control_pb2 as pb
 from ..verdicts import not_run, Reason
+from .account import Demand
 from .clock import read_clock
-from .holder import Demand, Holder, OVER_FACTOR
+from .holder import Holder, OVER_FACTOR
 from .lease import get_partition, Partitions
 from .purse import Lot, Purse
 
--- a/primroseglade/rates/holder.py
+++ b/primroseglade/rates/holder.py
@@ -1,7 +1,6 @@
 """Holds the buckets of the partitions leased to this instance."""
 
 import asyncio
-import collections
 import math
 import random
 from collections.abc import Callable
@@ -9,18 +8,17 @@
 from ..fleet.control import ControlClient, ControlServer, PeerError
 from ..fleet.members import Members
 from ..proto import control_pb2 as pb
+from .account import Account, Entitlement, LoanPart
 from .bucket import Bucket
 from .clock import read_clock
 from .lease import Candidate, get_partition, Lease, Partitions
-from .purse import Lot, Purse, SMALLEST
+from .purse import Lot, SMALLEST
 
 LOAN_TIMEOUT_SECONDS = 0.25
 # What a zone's demand exceeds its own rate by is borrowed for this long ahead.
 AHEAD_SECONDS = 0.3
 # Of what stands, one node gets at most this share at once, so that the next finds some.
 LARGEST_SHARE = 0.5
-# Long enough that one call by itself is no demand.
-DEMAND_SECONDS = 2.0
 LONGEST_RETRY_SECONDS = 5.0
 # When enough was lent but another was quicker, the next loan is asked for at once.
 LOAN_ROUNDS = 3
@@ -35,89 +33,6 @@
 SHORTEST_RETRY_SECONDS = 0.05
 
 
-class Demand:
-    """How many tokens a second are asked for, forgetting slowly.
-
-    Args:
-        seconds: Over which it is smoothed.
-    """
-
-    __slots__ = ("_at", "_rate", "_seconds")
-
-    def __init__(self, seconds: float) -> None:
-        self._seconds = seconds
-        self._rate = 0.0
-        self._at = read_clock()
-
-    def note(self, tokens: float) -> None:
-        """Count tokens asked for now."""
-        self._rate = self.read() + tokens / self._seconds
-
-    def read(self) -> float:
-        """Return tokens a second as of now."""
-        now = read_clock()
-        self._rate *= math.exp((self._at - now) / self._seconds)
-        self._at = now
-        return self._rate
-
-
-class LoanPart:
-    """Tokens of a loan.
-
-    Args:
-        zone: Whose holder lent them.
-        loan: The loan's number there.
-        tokens: How many.
-    """
-
-    __slots__ = ("loan", "tokens", "zone")
-
-    def __init__(self, zone: str, loan: int, tokens: float):
-        self.zone = zone
-        self.loan = loan
-        self.tokens = tokens
-
-
-class Account:
-    """One workspace's tokens in this zone: the bucket, and what others lent."""
-
-    __slots__ = (
-        "borrowed",
-        "borrowing",
-        "bucket",
-        "demand",
-        "dry_until",
-        "fleet_rate",
-        "passed",
-        "spent",
-    )
-
-    def __init__(self, bucket: Bucket, fleet_rate: float):
-        self.bucket = bucket
-        self.fleet_rate = fleet_rate
-        self.borrowed = Purse()
-        self.demand = Demand(DEMAND_SECONDS)
-        # Loans that went into a grant, until a node has spent it.
-        self.passed: collections.OrderedDict[int, list[LoanPart]] = (
-            collections.OrderedDict()
-        )
-        # Spent parts of loans, until their lender is told.
-        self.spent: dict[str, list[LoanPart]] = {}
-        self.borrowing: asyncio.Task[bool] | None = None
-        self.dry_until = -math.inf
-
-
-class Entitlement:
-    """A workspace's rate and burst in one zone, and its rate over the whole fleet."""
-
-    __slots__ = ("burst", "fleet_rate", "rate")
-
-    def __init__(self, rate: float, burst: float, fleet_rate: float):
-        self.rate = rate
-        self.burst = burst
-        self.fleet_rate = fleet_rate
-
-
 class Holder:
     """Grants tokens to the zone's nodes and lends them to other zones' holders.
 
