Keep a fleet in an outage from asking the log all at once

Cause: when nobody knows the log's end for 6 s, every node looks at the log itself, and in an outage asked again each second or two: 12,000 nodes would keep a platform down that comes back. Change: nodes that are not their zone's readers ask every 15 to 45 s after a failure. A test compares the pauses of readers and others. Measured: the tests of the configuration pass; the load itself was worked out, not measured.

--- a/primroseglade/fleet/log_reader.py
+++ b/primroseglade/fleet/log_reader.py
@@ -28,6 +28,7 @@
 POLL_SECONDS = 5.0
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 2.0
+OTHERS_RETRY_SECONDS = (15.0, 45.0)
 # A node that does not follow the log itself looks at it when no neighbour has known
 # its end for this long: the readers of its zone may all be gone.
 LOOK_AFTER_SECONDS = 6.0
@@ -73,9 +74,20 @@
                 self._note_back()
             except LogUnavailableError as error:
                 self._note_lost(error)
-                await asyncio.sleep(random.uniform(delay / 2, delay))
+                await asyncio.sleep(self._choose_pause(delay))
                 delay = min(LONGEST_RETRY_SECONDS, delay * 2)
 
+    def _choose_pause(self, delay: float) -> float:
+        """Return seconds to wait after the log did not answer.
+
+        In an outage the state of every node grows old, and all of them look at the
+        log. Asked by the whole fleet each second or two, a platform that comes back
+        would go down again; the readers alone find out just as soon.
+        """
+        if self.is_reader() or not self._configuration.ready:
+            return random.uniform(delay / 2, delay)
+        return random.uniform(*OTHERS_RETRY_SECONDS)
+
     def is_reader(self) -> bool:
         """Whether this node is one of its zone's readers, as it sees the zone."""
         own = self._members.own
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -238,6 +238,25 @@
                 assert (await client.call("archive", "/x")).status == 200
 
 
+async def test_outage_of_the_platform_does_not_set_the_whole_fleet_on_it():
+    """The log goes down, and every node's configuration grows old.
+
+    Were all of them to ask it every second or two, it could not come back.
+    """
+    settings = FAST | {"fleet": FAST["fleet"] | {"readers": 1}}
+    async with EmbeddedFleet(settings) as fleet:
+        await fleet.publish(**build_document(("a",)))
+        for _ in range(3):
+            await fleet.add("a")
+        await fleet.wait_ready()
+        pauses = {
+            node._reader.is_reader(): node._reader._choose_pause(2.0)
+            for node in fleet.nodes
+        }
+    assert pauses[True] <= 2.0
+    assert pauses[False] >= 15.0
+
+
 async def test_log_that_lost_its_end_does_not_turn_the_state_back():
     """The platform restores an old copy of the log: it ends before the state."""
     async with run_fleet("a") as fleet:
