--- a/bench/policy.py
+++ b/bench/policy.py
@@ -78,7 +78,6 @@
         demand: Root calls a second, by workspace.
         important: Workspaces that call the critical route.
         attempts: Attempts of a caller at one call.
-        patient: Whether callers heed what refusals ask of them.
     """
 
     def __init__(
--- a/bench/rates.py
+++ b/bench/rates.py
@@ -196,7 +196,7 @@
     workspace = f"w{number}"
 
     async def charge(node: Node, patience: float) -> None:
-        await node.charger.charge(workspace, patience)
+        await node.rates.charger.charge(workspace, patience)
 
     chosen = split_statically(nodes, case[0], case[1]) if statically else charge
     seconds = options.seconds or SECONDS
--- a/primroseglade/calls/handles.py
+++ b/primroseglade/calls/handles.py
@@ -1,7 +1,9 @@
 """Handles: what a backend server shows instead of a key when it calls onward."""
 
 import secrets
+from collections.abc import Callable
 
+from ..limits.importance import Importance
 from ..observe.traces import generate_span_id, TraceParent
 from ..verdicts import not_run, Reason, Refusal
 from .call import Context
@@ -40,7 +42,7 @@
         return context
 
 
-def descend(parent: Context, idempotent: bool, importance: object) -> Context:
+def descend(parent: Context, idempotent: bool, importance: Importance) -> Context:
     """Return the context of a call nested in another.
 
     The nested call takes its parent's retry tokens and gives back what it does not
@@ -69,7 +71,9 @@
     child.retry_tokens = 0
 
 
-def refuse_withdrawn(holds_key: object, context: Context) -> Refusal | None:
+def refuse_withdrawn(
+    holds_key: Callable[[str, str], bool], context: Context
+) -> Refusal | None:
     """Return the refusal of a call whose key was withdrawn meanwhile, else None."""
     if holds_key(context.workspace, context.key):
         return None
--- a/primroseglade/node.py
+++ b/primroseglade/node.py
@@ -35,11 +35,7 @@
 from .operations.recorder import Recorder
 from .operator_pages import build_operator_application
 from .platform.log import LogClient, LogUnavailableError
-from .rates.account import Entitlement
-from .rates.charger import Charger
-from .rates.holder import Holder
-from .rates.lease import Candidate, Elector, get_partition, Partitions
-from .rates.shares import ShareGate
+from .rates.keeper import RateKeeper
 from .settings.node import NodeSettings
 from .supervisor import Supervisor
 
@@ -110,19 +106,9 @@
         return self._tracer
 
     @property
-    def holder(self) -> Holder:
-        """The rate tokens that it holds."""
-        return self._holder
-
-    @property
-    def charger(self) -> Charger:
-        """Charges root calls that enter here."""
-        return self._charger
-
-    @property
-    def candidate(self) -> Candidate:
-        """Its leases."""
-        return self._candidate
+    def rates(self) -> RateKeeper:
+        """Its part in keeping rates."""
+        return self._rates
 
     @property
     def backend(self) -> BackendServer:
@@ -147,13 +133,11 @@
         for listener in self._listeners.values():
             await listener.wait_started()
         await self._take_state()
-        self._shares.activate(self._get_shares_told())
         self._supervisor.start("gossip", self._gossip.run)
         self._supervisor.start("puller", self._puller.run)
         self._supervisor.start("log reader", self._reader.run)
         self._supervisor.start("snapshots", self._snapshots.run)
-        self._supervisor.start("leases", self._candidate.run)
-        self._supervisor.start("shares", self._shares.run)
+        self._rates.start(self._supervisor)
         self._supervisor.start(
             "membership stream", lambda: self._stream.run(self._members.own)
         )
@@ -200,7 +184,7 @@
             await asyncio.wait_for(self._tools.in_flight.wait_idle(), grace)
         except TimeoutError:
             pass
-        await self._candidate.give_up()
+        await self._rates.give_up()
         await self._gossip.say_goodbye(state=State.LEFT)
         for listener in self._listeners.values():
             listener.stop(grace)
@@ -230,7 +214,7 @@
             },
             "backend_server": self._backend.to_dict(),
             "throttled": self._throttle.describe(),
-            "rates_held": self._holder.describe(),
+            "rates_held": self._rates.holder.describe(),
             "members": sorted(
                 (member.to_dict() for member in self._members),
                 key=lambda fields: fields["instance"],
@@ -319,41 +303,16 @@
         self._members.watch(self._forget_gone)
 
     def _build_rates(self) -> None:
-        settings = self._settings
-        partitions = Partitions(self._members)
-        elector = Elector(self._members, partitions, settings.fleet.lease)
-        self._shares = ShareGate(
-            settings.zone, self._configuration, self._confirmer, self._apply_shares
-        )
-        self._candidate = Candidate(
+        self._rates = RateKeeper(
+            self._settings,
             self._members,
-            partitions,
-            elector,
+            self._configuration,
+            self._confirmer,
             self._client,
-            self._get_partitions,
-            lambda lease: self._holder.start_lease(lease),
-            settings.fleet.lease,
             self._journal,
             self._metrics,
         )
-        self._holder = Holder(
-            self._members,
-            partitions,
-            self._candidate,
-            self._client,
-            self._get_entitlement,
-            settings.fleet.grant,
-        )
-        elector.register(self._server)
-        self._holder.register(self._server)
-        self._charger = Charger(
-            self._members,
-            partitions,
-            self._holder,
-            self._client,
-            lambda workspace: self._configuration.document.rates.get(workspace),
-            self._metrics,
-        )
+        self._rates.register(self._server)
 
     def _build_calls(self) -> None:
         settings = self._settings
@@ -394,7 +353,7 @@
             self._metrics,
         )
         self._callers_entry = CallersEntry(
-            self._tools, dispatcher, self._router, self._charger, self._recorder
+            self._tools, dispatcher, self._router, self._rates.charger, self._recorder
         )
         self._relay_entry = RelayEntry(self._tools, self._backend, seal)
         self._nested_entry = NestedEntry(self._tools, dispatcher, handles)
@@ -442,34 +401,10 @@
         if not outcome.accepted:
             return
         self._backend.apply_document()
-        self._shares.note_change()
-        self._holder.apply_entitlements()
+        self._rates.apply_document()
         self._gossip.spread()
 
-    def _apply_shares(self) -> None:
-        self._holder.apply_entitlements()
-        if self._members.own.share != self._shares.share:
-            self._members.change_own(share=self._shares.share)
-
-    def _get_shares_told(self) -> list[float]:
-        return [
-            member.share
-            for member in self._members.get_reachable(self._settings.zone)
-            if member.instance != self._settings.instance and member.share >= 0
-        ]
-
     def _forget_gone(self, member: Member, _: Member | None) -> None:
         if not member.reachable:
             self._router.forget(member.instance)
             self._relay.forget(member.relay)
-
-    def _get_partitions(self) -> set[int]:
-        rates = self._configuration.document.rates
-        return {get_partition(workspace) for workspace in rates}
-
-    def _get_entitlement(self, workspace: str) -> Entitlement | None:
-        rate = self._configuration.document.rates.get(workspace)
-        if rate is None:
-            return None
-        share = self._shares.share
-        return Entitlement(rate.per_second * share, rate.burst * share, rate.per_second)
--- /dev/null
+++ b/primroseglade/rates/keeper.py
@@ -0,0 +1,128 @@
+"""All that one node does for rates: leases, buckets, shares, and charging."""
+
+from ..fleet.configuration import Configuration
+from ..fleet.confirm import Confirmer
+from ..fleet.control import ControlClient, ControlServer
+from ..fleet.members import Members
+from ..observe.events import Journal
+from ..observe.metrics import Metrics
+from ..settings.node import NodeSettings
+from ..supervisor import Supervisor
+from .account import Entitlement
+from .charger import Charger
+from .holder import Holder
+from .lease import Candidate, Elector, get_partition, Partitions
+from .shares import ShareGate
+
+
+class RateKeeper:
+    """Puts the parts of rates together and keeps them to the document.
+
+    Args:
+        settings: Of the node.
+        members: The fleet.
+        configuration: The document.
+        confirmer: Asks the fleet how far it is.
+        client: Asks other nodes.
+        journal: Told of leases.
+        metrics: Counts tokens.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        members: Members,
+        configuration: Configuration,
+        confirmer: Confirmer,
+        client: ControlClient,
+        journal: Journal,
+        metrics: Metrics,
+    ):
+        self._settings = settings
+        self._members = members
+        self._configuration = configuration
+        partitions = Partitions(members)
+        self._shares = ShareGate(
+            settings.zone, configuration, confirmer, self._apply_shares
+        )
+        self._elector = Elector(members, partitions, settings.fleet.lease)
+        self._candidate = Candidate(
+            members,
+            partitions,
+            self._elector,
+            client,
+            self._get_partitions,
+            lambda lease: self._holder.start_lease(lease),
+            settings.fleet.lease,
+            journal,
+            metrics,
+        )
+        self._holder = Holder(
+            members,
+            partitions,
+            self._candidate,
+            client,
+            self._get_entitlement,
+            settings.fleet.grant,
+        )
+        self._charger = Charger(
+            members,
+            partitions,
+            self._holder,
+            client,
+            lambda workspace: configuration.document.rates.get(workspace),
+            metrics,
+        )
+
+    @property
+    def holder(self) -> Holder:
+        """The rate tokens that this instance holds."""
+        return self._holder
+
+    @property
+    def charger(self) -> Charger:
+        """Charges root calls that enter here."""
+        return self._charger
+
+    def register(self, server: ControlServer) -> None:
+        """Answer candidates, nodes and other holders."""
+        self._elector.register(server)
+        self._holder.register(server)
+
+    def start(self, supervisor: Supervisor) -> None:
+        """Begin with the configuration and the members that are known by now."""
+        self._shares.activate(self._get_shares_told())
+        supervisor.start("leases", self._candidate.run)
+        supervisor.start("shares", self._shares.run)
+
+    def apply_document(self) -> None:
+        """Take rates and shares over from the document."""
+        self._shares.note_change()
+        self._holder.apply_entitlements()
+
+    async def give_up(self) -> None:
+        """Give leases up before a planned stop."""
+        await self._candidate.give_up()
+
+    def _apply_shares(self) -> None:
+        self._holder.apply_entitlements()
+        if self._members.own.share != self._shares.share:
+            self._members.change_own(share=self._shares.share)
+
+    def _get_shares_told(self) -> list[float]:
+        return [
+            member.share
+            for member in self._members.get_reachable(self._settings.zone)
+            if member.instance != self._settings.instance and member.share >= 0
+        ]
+
+    def _get_partitions(self) -> set[int]:
+        rates = self._configuration.document.rates
+        return {get_partition(workspace) for workspace in rates}
+
+    def _get_entitlement(self, workspace: str) -> Entitlement | None:
+        rate = self._configuration.document.rates.get(workspace)
+        if rate is None:
+            return None
+        share = self._shares.share
+        return Entitlement(rate.per_second * share, rate.burst * share, rate.per_second)
--- a/primroseglade/stand_ins/fleet.py
+++ b/primroseglade/stand_ins/fleet.py
@@ -211,7 +211,7 @@
                 continue
             local = [node for node in nodes if node.settings.zone == zone]
             for workspace in document.rates:
-                if not any(node.holder.holds(workspace) for node in local):
+                if not any(node.rates.holder.holds(workspace) for node in local):
                     return False
         return True
 
