Wait for a rate holder that is being replaced instead of refusing

Cause: one of ten suites run at once refused an idempotent call as rate-unavailable after an instance was lost. It had held the workspace's tokens; while a successor took over, calls within their rate were refused, and in the successor's first moments as over their rate, since it may not grant before old grants have ended. Ruled out: routing and retries (the call never came so far). Change: a holder that may not grant yet says that it is none; a node without a holder asks again for up to a second before it refuses.

--- a/primroseglade/rates/charger.py
+++ b/primroseglade/rates/charger.py
@@ -24,6 +24,10 @@
 DEMAND_SECONDS = 0.5
 LOCAL_CANDIDATES = 2
 NO_HOLDER_RETRY_SECONDS = 1.0
+# A holder that was lost is replaced within a lease; calls within their rate wait a
+# part of that time rather than be refused for it.
+HAND_OVER_SECONDS = 1.0
+ASK_AGAIN_SECONDS = 0.1
 # A holder's denial stands for the node's other calls for this long.
 DENIAL_SECONDS = 0.02
 
@@ -113,6 +117,7 @@
         self, workspace: str, wallet: Wallet, patience: float
     ) -> None:
         wallet.waiting += 1
+        gives_up_at = read_clock() + HAND_OVER_SECONDS
         try:
             async with asyncio.timeout(patience):
                 while not wallet.purse.spend(1.0, read_clock()):
@@ -122,6 +127,9 @@
                     await asyncio.shield(wallet.refill)
                     if wallet.purse.spend(1.0, read_clock()):
                         return
+                    if self._awaits_holder(wallet) and read_clock() < gives_up_at:
+                        await asyncio.sleep(ASK_AGAIN_SECONDS)
+                        continue
                     self._raise_denial(wallet)
         except TimeoutError as error:
             raise not_run(
@@ -130,6 +138,10 @@
         finally:
             wallet.waiting -= 1
 
+    def _awaits_holder(self, wallet: Wallet) -> bool:
+        """Whether nobody who holds the tokens was reached, as while one is replaced."""
+        return wallet.denial is not None and wallet.denial.retry_after < 0
+
     def _raise_denial(self, wallet: Wallet) -> None:
         """Refuse, unless tokens came and others were quicker."""
         denial = wallet.denial
--- a/primroseglade/rates/holder.py
+++ b/primroseglade/rates/holder.py
@@ -111,6 +111,9 @@
                 # fractions to and fro between zones, and the caller would wait for
                 # what it can be told at once.
                 account.dry_until = read_clock() + DRY_SECONDS
+        if reply is None and not account.bucket.is_open(read_clock()):
+            # Not a workspace over its rate, but a holder that may not grant yet.
+            return pb.GrantReply(holder=False)
         if reply is None and not self._is_over(account):
             reply = await self._wait_for_accrual(request, account)
         return reply or self._build_denial(account)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -389,3 +389,27 @@
                 replies = await asyncio.gather(*calls, return_exceptions=True)
                 reasons |= {r.reason for r in replies if isinstance(r, Refusal)}
     assert reasons == {Reason.RATE_EXCEEDED}
+
+
+async def test_call_waits_while_the_holder_of_its_rate_is_replaced():
+    """The machine that held a tenant's tokens dies; no other zone has any share."""
+    async with EmbeddedFleet(FAST) as fleet:
+        await fleet.publish(**build_document(("a",)))
+        for _ in range(5):
+            await fleet.add("a", "archive")
+        await fleet.wait_ready()
+        held = [p for p in fleet.places if p.node.rates.holder.holds("north")]
+        entry = next(place for place in fleet.places if place is not held[0])
+        await fleet.kill(held[0])
+        async with Client([entry.callers], KEY, timeout=20.0) as client:
+            outcomes = []
+            while "served" not in outcomes:
+                try:
+                    await client.call("archive", "/x")
+                    outcomes.append("served")
+                except Refusal as refusal:
+                    assert refusal.reason is Reason.RATE_UNAVAILABLE
+                    assert refusal.verdict is Verdict.NOT_RUN
+                    outcomes.append("refused")
+        # Each refusal took the second that a hand-over is waited for.
+        assert len(outcomes) <= 6
