Share rates by one reckoned bucket, cut system calls, add up the call graph by levels

Small buckets for each node refused calls of workspaces within their rate. Change: visits by level; one poll and one write a turn; a reckoned bucket for the fleet before shares; order at the backend server by target; new backend servers are tried.

--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -228,6 +228,13 @@
     "call answered with a failure",
     "The backend server's own failure was handed on.",
 )
+LEVELS_SET = _define(
+    505,
+    "info",
+    "admission levels",
+    "Services named here are overloaded: requests that lead to them are refused at "
+    "their entry, the least urgent first, down to the level told.",
+)
 LINES_DROPPED = _define(
     590,
     "warning",
--- a/primroseglade/platform/__main__.py
+++ b/primroseglade/platform/__main__.py
@@ -9,6 +9,7 @@
 from ..errors import PrimrosegladeError
 from ..observe.events import Journal, SETTINGS_CHANGED
 from ..observe.lines import LineHandler
+from ..sidecar.loop import NodeLoop
 from ..sidecar.node import SidecarNode
 from .dialect import PlatformDialect
 from .reports import build_control, build_ready
@@ -51,7 +52,9 @@
     handler = LineHandler()
     with handler.applicationbound():
         try:
-            asyncio.run(run(load_settings(path), path))
+            settings = load_settings(path)
+            with asyncio.Runner(loop_factory=NodeLoop) as runner:
+                runner.run(run(settings, path))
         except PrimrosegladeError as error:
             print(f"primroseglade: {error}", file=sys.stderr)
             return int(error.status)
--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -51,7 +51,7 @@
 
     def __init__(self, rng: random.Random):
         self._rng = rng
-        self._ranks: dict[int, int] = {}
+        self._places: dict[int, int] = {}
         self._levels: dict[str, float] = {}
 
     @property
@@ -59,15 +59,17 @@
         """Levels that are not at their top, by service."""
         return self._levels
 
-    def set_priorities(self, priorities: Iterable[int]) -> None:
-        """Take the priorities that requests may have."""
-        ordered = sorted(set(priorities))
-        self._ranks = {priority: rank for rank, priority in enumerate(ordered)}
-        self._levels = {}
+    def set_ranks(self, ranks: Iterable[int]) -> None:
+        """Take the ranks that requests may have; levels stay if they are the same."""
+        ordered = sorted(set(ranks))
+        places = {rank: place for place, rank in enumerate(ordered)}
+        if places != self._places:
+            self._places = places
+            self._levels = {}
 
     def update(self, loads: dict[str, Load]) -> None:
         """Set the levels anew, once a step."""
-        top = float(len(self._ranks))
+        top = float(len(self._places))
         for service, load in loads.items():
             level = self._levels.get(service, top)
             if load.pressure > TOO_BUSY:
@@ -80,19 +82,19 @@
             else:
                 self._levels[service] = level
 
-    def admits(self, services: Iterable[str], priority: int) -> bool:
+    def admits(self, services: Iterable[str], rank: int) -> bool:
         """Whether a request that leads to these services may go in.
 
         Args:
             services: All that it leads to.
-            priority: Of the request.
+            rank: Of the request.
         """
         if not self._levels:
             return True
-        rank = self._ranks.get(priority, len(self._ranks))
+        place = self._places.get(rank, len(self._places))
         passed = 1.0
         for service in services:
             level = self._levels.get(service)
             if level is not None:
-                passed = min(passed, level - rank)
+                passed = min(passed, level - place)
         return passed >= 1.0 or self._rng.random() < passed
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -114,6 +114,13 @@
             return max(1, int(self.queue.limit * COLD_SHARE))
         return self.queue.limit
 
+    @property
+    def service_ms(self) -> float:
+        """Usual milliseconds of work of a call, 0 before the first."""
+        if not self.queue.measured:
+            return 0.0
+        return round(self.queue.service_seconds * 1000, 2)
+
     @property
     def failing(self) -> float:
         """Share of calls that failed there lately."""
@@ -195,7 +202,7 @@
         loop = asyncio.get_running_loop()
         self._check_instance(call)
         deadline = loop.time() + remaining
-        await self.queue.acquire(call.priority, remaining)
+        await self.queue.acquire(call.target_ms / 1000, remaining, call.nested)
         started = loop.time()
         seconds: float | None = None
         try:
--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -12,19 +12,26 @@
 # Some backend servers slow down by a third when more than 95 in 100 of their slots
 # are taken: the last slots cost more than they bring. One in sixteen is left free.
 USED_SLOTS = 15 / 16
+# Calls go in the order in which they came, with a handicap of so many times their
+# target. With one, calls of a service with a target of 300 ms that had waited 200 ms
+# went before ones with 100 ms, which were then late; with three that needs 600 ms.
+TARGET_WEIGHT = 3.0
 # Weight of a new measurement of the usual time of work, about the last 30 calls.
 SMOOTHING = 1 / 32
 # Before the first answer, in seconds.
 FIRST_SERVICE_SECONDS = 0.03
-# Calls that wait for one that is at work, at the most. With more, the last would
-# wait for four times the usual work, which urgent routes do not allow.
-WAITING_A_SLOT = 4.0
+# Calls of callers that wait for one that is at work, at the most. They are refused
+# early, while they may still be served elsewhere or come back in time.
+WAITING_A_SLOT = 3.0
+# Calls of other backend servers, likewise: refused, they waste the work above them,
+# so that they wait for as long as their time allows; this bounds memory.
+NESTED_WAITING_A_SLOT = 30.0
 
 
 class BackendQueue:
     """Lets as many calls through as the backend server works on well.
 
-    The most urgent go first, among equals the one that came first. What cannot be
+    The one whose answer would be late first goes first. What cannot be
     served in time is refused when it comes, not when its time is up: its caller may
     still be served elsewhere.
 
@@ -35,10 +42,11 @@
     def __init__(self, slots: int):
         self._limit = 1
         self._running = 0
-        self._waiting: list[tuple[int, int, float, asyncio.Future[None]]] = []
+        self._waiting: list[tuple[float, int, float, asyncio.Future[None]]] = []
         self._numbers = itertools.count()
         self._live = 0
         self._service_seconds = FIRST_SERVICE_SECONDS
+        self._measured = False
         self._area = 0.0
         self._measured_at = 0.0
         self._started = 0.0
@@ -59,6 +67,11 @@
         """Calls at work."""
         return self._running
 
+    @property
+    def measured(self) -> bool:
+        """Whether any call has ended, so that the time of work is known."""
+        return self._measured
+
     @property
     def service_seconds(self) -> float:
         """Usual time of work of a call."""
@@ -79,12 +92,13 @@
         self._started = now
         return average
 
-    async def acquire(self, priority: int, remaining: float) -> None:
+    async def acquire(self, target: float, remaining: float, nested: bool) -> None:
         """Wait for a turn.
 
         Args:
-            priority: 0 is the most urgent.
+            target: Seconds until the answer is late.
             remaining: Seconds in which the call must be done.
+            nested: Whether another backend server makes the call.
 
         Raises:
             Refusal: ``not run``: no room in time.
@@ -93,15 +107,18 @@
         if self._running < self._limit and not self._live:
             self._running += 1
             return
-        if self._live >= self._limit * WAITING_A_SLOT:
+        most = NESTED_WAITING_A_SLOT if nested else WAITING_A_SLOT
+        if self._live >= self._limit * most:
             raise not_run(Reason.OVERLOADED, f"{self._live} calls wait already")
-        ahead = self._count_ahead(priority)
+        now = asyncio.get_running_loop().time()
+        late_at = now + TARGET_WEIGHT * max(0.0, target)
+        ahead = self._count_ahead(late_at)
         wait = (ahead + 1) * self._service_seconds / self._limit
         if wait + self._service_seconds > remaining:
             raise not_run(Reason.OVERLOADED, f"{ahead} calls go before it")
         turn = asyncio.get_running_loop().create_future()
-        latest = asyncio.get_running_loop().time() + remaining
-        heapq.heappush(self._waiting, (priority, next(self._numbers), latest, turn))
+        entry = (late_at, next(self._numbers), now + remaining, turn)
+        heapq.heappush(self._waiting, entry)
         self._live += 1
         try:
             await turn
@@ -122,16 +139,18 @@
         """
         self._note_change()
         if seconds is not None:
-            self._service_seconds += SMOOTHING * (seconds - self._service_seconds)
+            weight = SMOOTHING if self._measured else 1.0
+            self._service_seconds += weight * (seconds - self._service_seconds)
+            self._measured = True
         self._running -= 1
         self._let_go()
 
-    def _count_ahead(self, priority: int) -> int:
+    def _count_ahead(self, late_at: float) -> int:
         if self._live < 16:
-            return sum(entry[0] <= priority for entry in self._waiting)
+            return sum(entry[0] <= late_at for entry in self._waiting)
         # Good enough, and cheaper than walking a long queue for each call.
         sample = self._waiting[:64]
-        share = sum(entry[0] <= priority for entry in sample) / len(sample)
+        share = sum(entry[0] <= late_at for entry in sample) / len(sample)
         return int(share * self._live)
 
     def _let_go(self) -> None:
--- a/primroseglade/sidecar/call_graph.py
+++ b/primroseglade/sidecar/call_graph.py
@@ -81,16 +81,27 @@
         """
         visits = self._visits.get(service)
         if visits is None:
-            visits = self._visits[service] = {}
-            self._walk(service, 1.0, visits, DEEPEST)
+            visits = self._visits[service] = self._sum_levels(service)
         return visits
 
-    def _walk(
-        self, service: str, count: float, visits: dict[str, float], depth: int
-    ) -> None:
-        visits[service] = visits.get(service, 0.0) + count
-        if not depth:
-            return
-        for name, ratio in self._below.get(service, {}).items():
-            if name != service:
-                self._walk(name, count * ratio, visits, depth - 1)
+    def _sum_levels(self, service: str) -> dict[str, float]:
+        """Add up the calls at each depth.
+
+        Level by level and not path by path: routes that move leave a few calls from
+        each service to most others for a while, and the paths through such a graph
+        are so many that walking them took most of a node's time.
+        """
+        visits = {service: 1.0}
+        level = {service: 1.0}
+        for _ in range(DEEPEST):
+            below: dict[str, float] = {}
+            for caller, count in level.items():
+                for name, ratio in self._below.get(caller, {}).items():
+                    if name != caller:
+                        below[name] = below.get(name, 0.0) + count * ratio
+            level = {n: count for n, count in below.items() if count >= LEAST_CALLS}
+            if not level:
+                break
+            for name, count in level.items():
+                visits[name] = visits.get(name, 0.0) + count
+        return visits
--- a/primroseglade/sidecar/choice.py
+++ b/primroseglade/sidecar/choice.py
@@ -6,8 +6,10 @@
 # What a call to another availability zone has to be better by. Bytes between zones
 # are what users pay most for after the machines; with less, light load spreads over
 # all zones for a gain of milliseconds that no caller sees.
-OTHER_ZONE_FACTOR = 2.0
-OTHER_ZONE_MS = 3.0
+OTHER_ZONE_FACTOR = 1.25
+OTHER_ZONE_MS = 2.0
+# And for each kilobyte of its body: large bodies stay near unless that is far worse.
+OTHER_ZONE_MS_A_KILOBYTE = 1.0
 # A failed call costs its caller about as much as so many calls' time.
 FAILURE_FACTOR = 6.0
 # Nodes with the same view would all choose the same place: each sees the others'
@@ -25,7 +27,8 @@
         same_zone: Whether it is in this node's availability zone.
         slots: Calls that its backend server works on at once.
         occupied: Calls at work and waiting there.
-        service_ms: Usual milliseconds of work.
+        service_ms: Usual milliseconds of work; 0 before the first call, which makes
+            a new backend server be tried until its first answer.
         failing: Share of failed calls.
     """
 
@@ -48,7 +51,13 @@
         self.failing = failing
 
 
-def estimate_cost(candidate: Candidate) -> float:
+# One call in so many is sent wherever there is room. A backend server that was slow
+# or failed for a while gets no others, and would never be seen to have recovered.
+EXPLORED = 0.02
+ROOM_TO_EXPLORE = 0.7
+
+
+def estimate_cost(candidate: Candidate, body_bytes: int = 0) -> float:
     """Return the expected milliseconds of a call there, with what else it costs.
 
     >>> near = Candidate("a", True, 20, 10, 15.0, 0.0)
@@ -65,21 +74,29 @@
     cost *= 1.0 + FAILURE_FACTOR * candidate.failing
     if not candidate.same_zone:
         cost = cost * OTHER_ZONE_FACTOR + OTHER_ZONE_MS
+        cost += body_bytes / 1000 * OTHER_ZONE_MS_A_KILOBYTE
     return cost
 
 
 def choose(
-    candidates: list[Candidate], tried: Collection[str], rng: random.Random
+    candidates: list[Candidate],
+    tried: Collection[str],
+    body_bytes: int,
+    rng: random.Random,
 ) -> Candidate | None:
     """Return where the next attempt goes, or None if nothing is left to try."""
     left = [item for item in candidates if item.name not in tried]
     if len(left) > SAMPLE:
         near = [item for item in left if item.same_zone]
         left = near[:SAMPLE] + rng.sample(left, SAMPLE)
+    if len(left) > 1 and rng.random() < EXPLORED:
+        roomy = [i for i in left if i.occupied < ROOM_TO_EXPLORE * i.slots]
+        if roomy:
+            return rng.choice(roomy)
     best: Candidate | None = None
     least = 0.0
     for item in left:
-        cost = estimate_cost(item) * (1.0 + JITTER * rng.random())
+        cost = estimate_cost(item, body_bytes) * (1.0 + JITTER * rng.random())
         if best is None or cost < least:
             best = item
             least = cost
--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -4,7 +4,7 @@
 import random
 
 from ..observe.events import CALL_REPEATED, Journal
-from ..verdicts import may_have_run, not_run, Reason, Refusal, Verdict
+from ..verdicts import not_run, Reason, Refusal, Verdict
 from .backend import Backend, BackendRefusal, Served
 from .call_graph import OwnCalls
 from .choice import Candidate
@@ -14,11 +14,13 @@
 from .retry_budget import RetryBudget
 
 # Nodes asked for one call, where each says that it did not run. Such refusals reach
-# no backend server and cost nothing but time.
-NODES_ASKED = 4
+# no backend server, but under overload all nodes say the same, and asking them all
+# would cost more than the calls themselves.
+NODES_ASKED = 3
 # A call that a backend server makes is worth waiting for: to refuse it throws away
-# the work above it. So long it waits between looks at who serves it, in seconds.
-NESTED_PAUSE_SECONDS = 0.03
+# the work above it. So long it waits before it looks again who serves it, in seconds,
+# and twice as long each time.
+NESTED_PAUSE_SECONDS = 0.05
 # And so long it waits at the most; restarts of a node take about a second.
 NESTED_PATIENCE_SECONDS = 1.5
 
@@ -31,10 +33,10 @@
         "deadline",
         "head",
         "nested",
-        "priority",
         "request_id",
         "route",
         "service",
+        "target",
     )
 
     def __init__(
@@ -44,18 +46,18 @@
         request_id: bytes,
         head: bytes,
         body: bytes,
-        priority: int,
         nested: bool,
         deadline: float,
+        target: float,
     ):
         self.route = route
         self.service = service
         self.request_id = request_id
         self.head = head
         self.body = body
-        self.priority = priority
         self.nested = nested
         self.deadline = deadline
+        self.target = target
 
 
 class Outcome:
@@ -110,18 +112,17 @@
         tried: set[str] = set()
         arrivals = 0
         asked = 0
+        pause = NESTED_PAUSE_SECONDS
         verdict = Verdict.NOT_RUN
         waited_until = loop.time() + NESTED_PATIENCE_SECONDS
         while True:
-            candidate = self._choose(call.service, tried)
-            if candidate is None or asked >= NODES_ASKED:
-                if not call.nested or loop.time() > waited_until or arrivals:
-                    detail = f"no backend server of {call.service} has room"
-                    refusal = Refusal(Reason.NO_BACKEND_SERVER, verdict, detail)
-                    raise refusal
-                await asyncio.sleep(NESTED_PAUSE_SECONDS)
-                tried.clear()
-                asked = 0
+            candidate = self._choose(call, tried)
+            if candidate is None:
+                if not call.nested or loop.time() > waited_until or tried:
+                    detail = f"no backend server of {call.service} takes calls"
+                    raise Refusal(Reason.NO_BACKEND_SERVER, verdict, detail)
+                await asyncio.sleep(pause)
+                pause *= 2
                 continue
             tried.add(candidate.name)
             asked += 1
@@ -140,12 +141,13 @@
                     verdict = refusal.verdict
                     if not call.route.idempotent:
                         raise
-                if arrived or isinstance(refusal, BackendRefusal):
+                arrived_now = arrived or isinstance(refusal, BackendRefusal)
+                if arrived_now:
                     arrivals += 1
-                else:
+                elif asked < NODES_ASKED:
                     continue
                 refusal.verdict = verdict
-                if not self._may_repeat(call, arrivals):
+                if not arrived_now or not self._may_repeat(call, arrivals):
                     raise
             else:
                 if not self._may_repeat(call, arrivals):
@@ -167,20 +169,20 @@
             return False
         return self._budget.take(call.service, len(self._fleet), loop.time())
 
-    def _choose(self, service: str, tried: set[str]) -> Candidate | None:
+    def _choose(self, call: OutgoingCall, tried: set[str]) -> Candidate | None:
         own: Candidate | None = None
         backend = self._backend
-        if backend.service == service and backend.instance:
+        if backend.service == call.service and backend.instance:
             queue = backend.queue
             own = Candidate(
                 self._node,
                 True,
                 backend.slots,
                 queue.occupied,
-                queue.service_seconds * 1000,
+                backend.service_ms,
                 backend.failing,
             )
-        return self._fleet.choose(service, own, tried)
+        return self._fleet.choose(call.service, own, tried, len(call.body))
 
     async def _send(self, call: OutgoingCall, candidate: Candidate) -> Outcome:
         loop = asyncio.get_running_loop()
@@ -200,7 +202,7 @@
             call.route.name,
             call.request_id,
             remaining * 1000,
-            call.priority,
+            (call.target - loop.time()) * 1000,
             call.route.idempotent,
             call.nested,
             call.head,
@@ -228,12 +230,9 @@
         """
         remaining = message.remaining_ms / 1000
         self._own_calls.note_run(asyncio.get_running_loop().time())
-        try:
-            async with asyncio.timeout(remaining):
-                return await self._backend.serve(message, remaining)
-        except TimeoutError as error:
-            detail = "its time was up while it ran"
-            raise may_have_run(Reason.DEADLINE_EXCEEDED, detail) from error
+        # Whoever sent it cancels it when its time is up; a timer of its own for each
+        # call would cost as much as half of the work on it.
+        return await self._backend.serve(message, remaining)
 
 
 def spread_retry(remaining: float, rng: random.Random) -> float:
--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -11,7 +11,7 @@
 from .dispatch import Dispatcher, Outcome, OutgoingCall, spread_retry
 from .fleet import Fleet
 from .http_server import Reply, Request
-from .model import LOWEST_PRIORITY, Route, Tenant
+from .model import rank_request, Route, Tenant
 from .policy_keeper import PolicyKeeper
 from .quota import Quotas
 from .retry_budget import RetryBudget
@@ -62,7 +62,6 @@
     """Takes requests at the address that callers and the backend server use.
 
     Args:
-        address: This machine's IP number, from which the backend server calls.
         service: What the backend server beside this node serves.
         dialect: How to speak to callers.
         policies: The configuration in force.
@@ -79,7 +78,6 @@
 
     def __init__(
         self,
-        address: str,
         service: str,
         dialect: CallerDialect,
         policies: PolicyKeeper,
@@ -93,7 +91,6 @@
         journal: Journal,
         rng: random.Random,
     ):
-        self._address = address
         self._service = service
         self._dialect = dialect
         self._policies = policies
@@ -141,7 +138,9 @@
     async def _answer(self, request: Request, fields: CallerFields) -> Outcome:
         route = self._find_route(request, fields)
         tenant = self._find_tenant(route, fields)
-        nested = request.peer == self._address
+        # Callers and the backend server use the same address of this machine; but
+        # only what the backend server calls is open to those without a key.
+        nested = tenant is None and route.public
         seconds = fields.seconds if fields.seconds is not None else DEFAULT_SECONDS
         seconds = min(seconds, route.timeout)
         deadline = request.arrived + seconds
@@ -151,13 +150,10 @@
         if tenant is not None:
             self._charge(tenant, remaining)
         service = self._policies.routes.choose_service(route)
-        priority = route.priority
-        if tenant is not None and tenant.priority is not None:
-            priority = tenant.priority
         if nested:
             self._own_calls.note_call(service, self._get_time())
         else:
-            self._admit(service, priority, remaining)
+            self._admit(service, rank_request(route, tenant), remaining)
             self._budget.note_first(service, self._get_time())
         head = self._dialect.render_request(
             request, self._service, tenant.name if tenant is not None else ""
@@ -168,9 +164,9 @@
             fields.request_id,
             head,
             request.body,
-            priority,
             nested,
             deadline,
+            request.arrived + route.target_latency,
         )
         try:
             async with asyncio.timeout_at(deadline):
@@ -237,12 +233,8 @@
             reason=refusal.reason.code,
             verdict=refusal.verdict.value,
             detail=refusal.detail,
-            nested=request.peer == self._address,
             target=request.target[:60].decode("latin-1"),
             policy=self._policies.version,
             policy_age=round(min(self._policies.age, 1e6), 3),
             seconds=round(self._get_time() - request.arrived, 4),
         )
-
-
-__all__ = ["LOWEST_PRIORITY", "CallerDialect", "CallerFields", "Entry"]
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -1,6 +1,5 @@
 """All nodes as this one knows them, and who serves what."""
 
-import asyncio
 import random
 from collections.abc import Collection, Iterator
 
@@ -30,6 +29,7 @@
         self._journal = journal
         self._rng = rng
         self._peers: dict[str, Peer] = {}
+        self._by_service: dict[str, list[Peer]] = {}
 
     def __iter__(self) -> Iterator[Peer]:
         return iter(list(self._peers.values()))
@@ -50,9 +50,11 @@
         if known is not None:
             if entry.started > known.entry.started:
                 known.entry = entry
+                self._index()
             return
         peer = Peer(entry, self._host, self._journal)
         self._peers[entry.name] = peer
+        self._index()
         self._journal.emit(PEER_LEARNT, peer=entry.name, address=entry.address)
         self._supervisor.start(f"peer {entry.name}", lambda: self._run(peer))
 
@@ -67,7 +69,11 @@
         return [peer for peer in self._peers.values() if peer.connected]
 
     def choose(
-        self, service: str, own: Candidate | None, tried: Collection[str]
+        self,
+        service: str,
+        own: Candidate | None,
+        tried: Collection[str],
+        body_bytes: int,
     ) -> Candidate | None:
         """Return where a call to a service goes next.
 
@@ -75,15 +81,14 @@
             service: What is called.
             own: This node, where its backend server serves it.
             tried: Names of nodes that are not to be asked again.
+            body_bytes: Size of its body.
         """
         candidates = [own] if own is not None else []
         suspects: list[Candidate] = []
         zone = self._host.entry.zone
-        for peer in self._peers.values():
+        for peer in self._by_service.get(service, ()):
             state = peer.state
-            if peer.entry.service != service or not state.instance:
-                continue
-            if not peer.connected:
+            if not state.instance or not peer.connected:
                 continue
             candidate = Candidate(
                 peer.entry.name,
@@ -94,8 +99,8 @@
                 state.failing,
             )
             (suspects if peer.suspect else candidates).append(candidate)
-        return choose(candidates, tried, self._rng) or choose(
-            suspects, tried, self._rng
+        return choose(candidates, tried, body_bytes, self._rng) or choose(
+            suspects, tried, body_bytes, self._rng
         )
 
     def sum_loads(self) -> dict[str, Load]:
@@ -109,13 +114,13 @@
             load.slots += peer.state.slots
         return loads
 
+    def _index(self) -> None:
+        self._by_service = {}
+        for peer in self._peers.values():
+            self._by_service.setdefault(peer.entry.service, []).append(peer)
+
     async def _run(self, peer: Peer) -> None:
         await peer.run()
         self._peers.pop(peer.entry.name, None)
+        self._index()
         self._journal.emit(PEER_FORGOTTEN, peer=peer.entry.name)
-
-
-async def gather_quietly(*awaitables: "asyncio.Future[None]") -> int:
-    """Wait for all and return how many succeeded."""
-    results = await asyncio.gather(*awaitables, return_exceptions=True)
-    return sum(not isinstance(result, BaseException) for result in results)
--- a/primroseglade/sidecar/frames.py
+++ b/primroseglade/sidecar/frames.py
@@ -53,7 +53,7 @@
         route: Name of the route that it takes.
         request_id: Repeated by the backend server in its answer.
         remaining_ms: Milliseconds for which its caller still waits.
-        priority: Rank; 0 is the most urgent.
+        target_ms: Milliseconds until its answer is late; below 0 if it is.
         idempotent: Whether it may run more than once.
         nested: Whether a backend server makes it while it serves another.
         head: Request line and headers, but for those that the receiver sets.
@@ -65,7 +65,7 @@
     route: str
     request_id: bytes
     remaining_ms: float
-    priority: int
+    target_ms: float
     idempotent: bool
     nested: bool
     head: bytes
--- a/primroseglade/sidecar/freshness.py
+++ b/primroseglade/sidecar/freshness.py
@@ -6,7 +6,10 @@
 
 
 class Freshness:
-    """The moment at which no newer configuration existed, for all that is known.
+    """The moment up to which every published configuration is known here.
+
+    It holds on when a newer version comes: whatever was published before that moment
+    is the version in force or older than it.
 
     No clock is compared between instances. Whoever answers tells how old its own
     knowledge is; to that the time since the question was sent is added, which is at
@@ -42,8 +45,3 @@
         moment = asked_at - told_age
         if self._confirmed is None or moment > self._confirmed:
             self._confirmed = moment
-
-    def reset(self, asked_at: float, told_age: float = 0.0) -> None:
-        """Start anew with another version."""
-        self._confirmed = None
-        self.confirm(asked_at, told_age)
--- a/primroseglade/sidecar/http_server.py
+++ b/primroseglade/sidecar/http_server.py
@@ -153,6 +153,11 @@
             if not connection.busy:
                 connection.close()
 
+    def abort(self) -> None:
+        """Cut all connections."""
+        for connection in list(self._connections):
+            connection.abort()
+
     def add(self, connection: "ServerConnection") -> None:
         """Note an open connection."""
         self._connections.add(connection)
@@ -238,6 +243,11 @@
             self._refuse_malformed(400)
         except httptools.HttpParserError:
             self._refuse_malformed(self._too_large or 400)
+            return
+        if self._current and not self._method:
+            self._size += len(data)
+            if self._size > self._server.limits.header_bytes:
+                self._refuse_malformed(431)
 
     def on_message_begin(self) -> None:
         """Parser callback."""
@@ -247,27 +257,28 @@
     def on_url(self, url: bytes) -> None:
         """Parser callback."""
         self._target += url
-        self._count(len(url), self._server.limits.header_bytes, 431)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback."""
         self._headers.append((name, value))
-        size = len(name) + len(value) + 4
-        self._count(size, self._server.limits.header_bytes, 431)
 
     def on_headers_complete(self) -> None:
         """Parser callback."""
         self._size = 0
         self._method = self._parser.get_method()
         for name, value in self._headers:
-            lower = name.lower()
-            if lower == b"expect" and value.lower() == b"100-continue":
-                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            if len(name) == 6 and name.lower() == b"expect":
+                if value.lower() == b"100-continue":
+                    self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Parser callback."""
         self._body.append(body)
-        self._count(len(body), self._server.limits.body_bytes, 413)
+        self._size += len(body)
+        if self._size > self._server.limits.body_bytes:
+            self._too_large = 413
+            # Raised through the parser, which stops at it.
+            raise ValueError("larger than callers may send")
 
     def on_message_complete(self) -> None:
         """Parser callback."""
@@ -307,6 +318,11 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Cut it."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def _reset(self) -> None:
         self._target = b""
         self._headers: RawHeaders = []
@@ -314,13 +330,6 @@
         self._size = 0
         self._method = b""
 
-    def _count(self, size: int, most: int, status: int) -> None:
-        self._size += size
-        if self._size > most:
-            self._too_large = status
-            # Raised through the parser, which stops at it.
-            raise ValueError("larger than callers may send")
-
     def _refuse_malformed(self, status: int) -> None:
         """Answer bytes that are no acceptable request, and end the connection."""
         self._too_large = status
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -103,6 +103,18 @@
         self.burst = burst
 
 
+def rank_request(route: Route, tenant: Tenant | None) -> int:
+    """Return a request's rank, 0 the most urgent.
+
+    The workspace's priority goes before the route's; among requests of workspaces
+    of one priority the route's decides.
+    """
+    first = route.priority
+    if tenant is not None and tenant.priority is not None:
+        first = tenant.priority
+    return first * (LOWEST_PRIORITY + 1) + min(route.priority, LOWEST_PRIORITY)
+
+
 class ServiceLimits:
     """What the operator says of a service."""
 
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -8,6 +8,7 @@
 
 from ..observe.events import (
     Journal,
+    LEVELS_SET,
     NODE_STARTED,
     NODE_STOPPED,
     NODE_STOPPING,
@@ -24,10 +25,10 @@
 from .http_server import Handler, HttpServer
 from .model import (
     BackendState,
-    LOWEST_PRIORITY,
     NodeEntry,
     NodeState,
     Policy,
+    rank_request,
     StatusReport,
 )
 from .peer import Peer
@@ -49,6 +50,8 @@
 IDLE_POLL_SECONDS = 0.05
 # Kept of the time that the platform gives, for the end of the process itself.
 STOP_MARGIN_SECONDS = 0.7
+# Levels change in steps; the log has them once a second while any is below its top.
+LEVELS_TOLD_SECONDS = 1.0
 # Ids of leaving backend servers that a node remembers for others.
 DRAINS_REMEMBERED = 512
 
@@ -185,6 +188,8 @@
         self._stopping = False
         self._drains: dict[str, int] = {}
         self._drains_known = False
+        self._levels_told = False
+        self._levels_told_at = 0.0
         self._drains_kept: set[str] = set()
         self._entry = NodeEntry(
             settings.name,
@@ -215,7 +220,6 @@
             journal,
         )
         self.entry_point = Entry(
-            settings.host,
             settings.service,
             dialect,
             self.policies,
@@ -274,6 +278,14 @@
         for task in done:
             task.result()
 
+    async def abort(self) -> None:
+        """End without notice, as a killed process does; for tests."""
+        self._peer_server.abort()
+        for server in (self._outbound, self._ready, self._control):
+            server.abort()
+        await self._supervisor.close()
+        await self._store.close()
+
     def build_state(self) -> NodeState:
         """Return what this node tells of itself now."""
         now = asyncio.get_running_loop().time()
@@ -283,7 +295,7 @@
             backend.instance,
             backend.slots,
             round(self._occupied_lately, 2),
-            round(backend.queue.service_seconds * 1000, 2),
+            backend.service_ms,
             round(backend.failing, 3),
             self.policies.version,
             int(age * 1000) + 1,
@@ -490,8 +502,25 @@
                 own.occupied += self._occupied_lately
                 own.slots += self.backend.slots
             self.admission.update(loads)
+            self._tell_levels(loads)
             self._rebuild_graph()
 
+    def _tell_levels(self, loads: dict[str, Load]) -> None:
+        now = asyncio.get_running_loop().time()
+        levels = self.admission.levels
+        if not levels and not self._levels_told:
+            return
+        if now - self._levels_told_at < LEVELS_TOLD_SECONDS and levels:
+            return
+        self._levels_told_at = now
+        self._levels_told = bool(levels)
+        self._journal.emit(
+            LEVELS_SET,
+            levels={name: round(level, 2) for name, level in levels.items()},
+            pressure={name: round(load.pressure, 2) for name, load in loads.items()},
+            calls=self.graph.get_visits(self._settings.service),
+        )
+
     def _rebuild_graph(self) -> None:
         now = asyncio.get_running_loop().time()
         told = [
@@ -505,10 +534,10 @@
         self.graph.rebuild(told)
 
     def _apply_policy(self, policy: Policy) -> None:
-        priorities = {route.priority for route in policy.routes}
-        priorities |= {
-            tenant.priority
-            for tenant in (policy.tenants or {}).values()
-            if tenant.priority is not None
-        }
-        self.admission.set_priorities(priorities | {LOWEST_PRIORITY})
+        tenants = set((policy.tenants or {}).values()) or {None}
+        self.admission.set_ranks(
+            rank_request(route, tenant)
+            for route in policy.routes
+            for tenant in tenants
+            if policy.tenants is None or not route.public
+        )
--- a/primroseglade/sidecar/peer_server.py
+++ b/primroseglade/sidecar/peer_server.py
@@ -98,6 +98,11 @@
         for stream in list(self._streams):
             stream.finish()
 
+    def abort(self) -> None:
+        """Cut all streams."""
+        for stream in list(self._streams):
+            stream.close()
+
     def _receive(self, stream: FrameStream, frame: Frame) -> None:
         tasks = self._streams.setdefault(stream, {})
         if isinstance(frame, Call):
--- a/primroseglade/sidecar/policy_keeper.py
+++ b/primroseglade/sidecar/policy_keeper.py
@@ -237,7 +237,7 @@
         self._policy = policy
         self._record = record
         self._routes = RouteTable(policy.routes)
-        self._freshness.reset(asked_at, age)
+        self._freshness.confirm(asked_at, age)
         self._journal.emit(
             POLICY_IN_FORCE,
             version=policy.version,
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -1,8 +1,11 @@
 """A workspace's rate and burst over the whole fleet, with nobody to ask.
 
-Each node lets through its share of the rate, and shares follow demand: a node's own
-calls against those that the others told of with their last heartbeats. The shares add
-up to one as long as views agree, and views differ only by what changed within a
+Each node reckons with one bucket of tokens for the fleet: filled at the workspace's
+rate, emptied by its own calls, by those that the others told of with their last
+heartbeats, and by what they will have let through since. While that bucket has
+tokens, any node may use them, whatever its share of the demand. When it is empty,
+each node lets through its share of the rate, and shares follow demand. They add up
+to one as long as views agree, and views differ only by what changed within a
 heartbeat. A node that the others cannot reach goes on with the share that it had,
 and they go on reckoning with it for as long as it may.
 """
@@ -16,22 +19,42 @@
 # A node that was not heard of for so long is taken to spend nothing. Without peers
 # and store it may serve no keys any more by then.
 FORGET_SECONDS = 6.0
-# What a refused caller is told at the least; tokens of a small share come seldom.
-LEAST_RETRY_SECONDS = 0.2
+# Weight of the newest rate that a node told, against those before.
+RATE_SMOOTHING = 0.5
+# A share's own bucket holds the tokens of so many seconds: short, as the fleet's
+# bucket is what smooths demand.
+SHARE_BURST_SECONDS = 0.5
 
 
 class RemoteUsage:
     """What another node told of a workspace's calls, and when."""
 
-    __slots__ = ("demand", "heard_at")
+    __slots__ = ("admitted", "demand", "expected", "heard_at", "rate")
 
-    def __init__(self, demand: float, heard_at: float):
+    def __init__(self, demand: float, admitted: int, heard_at: float):
         self.demand = demand
+        self.admitted = admitted
         self.heard_at = heard_at
+        self.rate = demand
+        self.expected = 0.0
+
+    def update(self, demand: float, admitted: int, now: float) -> float:
+        """Take in what it tells now; return calls that were not reckoned with."""
+        # A smaller number than before: the node was started again.
+        passed = admitted - self.admitted if admitted >= self.admitted else admitted
+        span = now - self.heard_at
+        if span > 0.05:
+            self.rate += RATE_SMOOTHING * (passed / span - self.rate)
+        unexpected = passed - self.expected
+        self.demand = demand
+        self.admitted = admitted
+        self.heard_at = now
+        self.expected = 0.0
+        return unexpected
 
 
 class Account:
-    """One workspace's tokens at this node.
+    """One workspace's tokens as this node sees them.
 
     Args:
         now: Seconds on the loop's clock.
@@ -43,7 +66,8 @@
         self._demand = SlidingCount(DEMAND_SECONDS)
         self._since = now
         self._refilled_at = now
-        self._tokens: float | None = None if full else 0.0
+        self._fleet_tokens: float | None = None if full else 0.0
+        self._share_tokens = 0.0
         self._others: dict[str, RemoteUsage] = {}
         self.admitted = 0
 
@@ -52,9 +76,15 @@
         span = min(DEMAND_SECONDS, max(0.25, now - self._since))
         return self._demand.total(now) / span
 
-    def note_remote(self, node: str, demand: float, now: float) -> None:
+    def note_remote(self, node: str, told: Usage, now: float) -> None:
         """Take in what another node told."""
-        self._others[node] = RemoteUsage(demand, now)
+        known = self._others.get(node)
+        if known is None:
+            self._others[node] = RemoteUsage(told.demand, told.admitted, now)
+            return
+        unexpected = known.update(told.demand, told.admitted, now)
+        if self._fleet_tokens is not None:
+            self._fleet_tokens -= unexpected
 
     def take(self, tenant: Tenant, nodes: int, now: float) -> bool:
         """Whether one more call may go; it is counted if so.
@@ -68,31 +98,43 @@
         if tenant.rate <= 0:
             self.admitted += 1
             return True
-        share = self._get_share(nodes, now)
-        most = max(1.0, tenant.burst * share)
-        if self._tokens is None:
-            self._tokens = most
-        gained = (now - self._refilled_at) * tenant.rate * share
-        self._refilled_at = now
-        self._tokens = min(most, self._tokens + gained)
-        if self._tokens < 1.0:
+        self._refill(tenant, nodes, now)
+        assert self._fleet_tokens is not None
+        if self._fleet_tokens < 1.0 and self._share_tokens < 1.0:
             return False
-        self._tokens -= 1.0
+        self._fleet_tokens -= 1.0
+        self._share_tokens = max(0.0, self._share_tokens - 1.0)
         self.admitted += 1
         return True
 
-    def _get_share(self, nodes: int, now: float) -> float:
-        others = 0.0
-        heard = 1
+    def _refill(self, tenant: Tenant, nodes: int, now: float) -> None:
+        span = now - self._refilled_at
+        self._refilled_at = now
+        if self._fleet_tokens is None:
+            self._fleet_tokens = tenant.burst
+        used = 0.0
         for name, usage in list(self._others.items()):
             if now - usage.heard_at > FORGET_SECONDS:
                 del self._others[name]
                 continue
-            others += usage.demand
-            heard += 1
-        if heard * 2 < nodes and now - self._since < FORGET_SECONDS:
+            expected = usage.rate * span
+            usage.expected += expected
+            used += expected
+        gained = tenant.rate * span - used
+        # Below zero by a burst at the most: what shares let through while the
+        # fleet's bucket was empty is not held against them for long.
+        self._fleet_tokens += gained
+        self._fleet_tokens = min(tenant.burst, max(-tenant.burst, self._fleet_tokens))
+        share = self._get_share(nodes, now)
+        most = max(1.0, tenant.rate * share * SHARE_BURST_SECONDS)
+        self._share_tokens += span * tenant.rate * share
+        self._share_tokens = min(most, self._share_tokens)
+
+    def _get_share(self, nodes: int, now: float) -> float:
+        if len(self._others) * 2 < nodes - 1 and now - self._since < FORGET_SECONDS:
             # Just started: most have not told yet what they spend.
             return 1.0 / nodes
+        others = sum(usage.demand for usage in self._others.values())
         own = self.get_demand(now)
         return own / max(own + others, 1e-9)
 
@@ -115,16 +157,15 @@
     def note_remote(self, node: str, usage: dict[str, Usage], now: float) -> None:
         """Take in what another node told of all workspaces."""
         for name, told in usage.items():
-            self._get(name, now).note_remote(node, told.demand, now)
+            self._get(name, now).note_remote(node, told, now)
 
     def describe(self, now: float) -> dict[str, Usage]:
         """Return what to tell the others."""
-        told = {}
-        for name, account in self._accounts.items():
-            demand = account.get_demand(now)
-            if demand > 0:
-                told[name] = Usage(round(demand, 2), account.admitted)
-        return told
+        return {
+            name: Usage(round(account.get_demand(now), 2), account.admitted)
+            for name, account in self._accounts.items()
+            if account.admitted or account.get_demand(now) > 0
+        }
 
     def _get(self, name: str, now: float) -> Account:
         account = self._accounts.get(name)
--- a/primroseglade/sidecar/streams.py
+++ b/primroseglade/sidecar/streams.py
@@ -22,7 +22,15 @@
         lost: Called once, with the reason, when the connection is gone.
     """
 
-    __slots__ = ("_buffer", "_lost", "_reader", "_receive", "_transport", "heard_at")
+    __slots__ = (
+        "_buffer",
+        "_flush_later",
+        "_lost",
+        "_reader",
+        "_receive",
+        "_transport",
+        "heard_at",
+    )
 
     def __init__(
         self,
@@ -34,7 +42,10 @@
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
         self._buffer: list[bytes] = []
-        self.heard_at = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        # Loops of tests and other programs flush in their next turn.
+        self._flush_later = getattr(loop, "flush_later", loop.call_soon)
+        self.heard_at = loop.time()
 
     @property
     def closed(self) -> bool:
@@ -70,7 +81,7 @@
     def send(self, frame: Frame) -> None:
         """Send a frame with the others of this turn of the loop."""
         if not self._buffer:
-            asyncio.get_running_loop().call_soon(self._flush)
+            self._flush_later(self._flush)
         self._buffer.append(encode_frame(frame))
 
     def close(self) -> None:
--- /dev/null
+++ b/primroseglade/stand_ins/store.py
@@ -0,0 +1,184 @@
+"""A stand-in for the platform's store, with the ways in which it may fail."""
+
+import asyncio
+import base64
+import json
+import struct
+from urllib.parse import parse_qs, urlsplit
+
+from ..sidecar.http_server import HttpServer, render_status_line, Reply, Request
+
+JSON_TYPE = b"Content-Type: application/json\r\n"
+RAW_TYPE = b"Content-Type: application/octet-stream\r\n"
+POSITIONS = struct.Struct(">QQ")
+LENGTH = struct.Struct(">I")
+KEYED_PREFIX = "keyed."
+
+
+class Partition:
+    """The records of one partition.
+
+    Attributes:
+        records: Those that are kept, the oldest first.
+        first: Position of the oldest.
+        newest: Of each key, its value and position, in a keyed topic.
+    """
+
+    __slots__ = ("first", "newest", "records")
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+        self.first = 0
+        self.newest: dict[str, tuple[bytes, int]] = {}
+
+    @property
+    def end(self) -> int:
+        """Position after the newest record."""
+        return self.first + len(self.records)
+
+
+class StoreFaults:
+    """What goes wrong, until it is changed.
+
+    Attributes:
+        down: Status answered to all calls, such as 503; 0 for none.
+        silent: Whether calls get no answer at all.
+        slow: Seconds by which answers are late.
+        lose_answers: Whether writes are done and their connection then closed.
+    """
+
+    __slots__ = ("down", "lose_answers", "silent", "slow")
+
+    def __init__(self) -> None:
+        self.down = 0
+        self.silent = False
+        self.slow = 0.0
+        self.lose_answers = False
+
+
+class StoreStandIn:
+    """Keeps topics in memory and serves them as the platform's store does.
+
+    Args:
+        address: ``IP:PORT``.
+    """
+
+    def __init__(self, address: str):
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._partitions: dict[tuple[str, int], Partition] = {}
+        self._changed = asyncio.Condition()
+        self._server = HttpServer(address, self._handle)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await self._server.run()
+
+    def publish(self, configuration: dict[str, object]) -> None:
+        """Write the operator's configuration, as the operator does."""
+        self.append("keyed.op", "config", json.dumps(configuration).encode())
+
+    def append(self, topic: str, key: str, value: bytes) -> None:
+        """Write the newest record of a key."""
+        name = key.encode()
+        self._add(self._get(topic, 0), [bytes([len(name)]) + name + value], True)
+
+    def forget_history(self) -> None:
+        """Delete all records; the newest of each key stays."""
+        for partition in self._partitions.values():
+            partition.first = partition.end
+            partition.records = []
+
+    def read_newest(self, topic: str) -> dict[str, bytes]:
+        """Return the newest value of each key."""
+        partition = self._get(topic, 0)
+        return {key: value for key, (value, _) in partition.newest.items()}
+
+    async def _handle(self, request: Request) -> Reply:
+        self.calls += 1
+        faults = self.faults
+        if faults.silent:
+            await asyncio.Event().wait()
+        if faults.slow:
+            await asyncio.sleep(faults.slow)
+        if faults.down:
+            return Reply(render_status_line(faults.down), b"")
+        parts = urlsplit(request.target.decode())
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path == "/log-append":
+            return await self._append(query, request.body)
+        if parts.path == "/log-read":
+            return await self._read(query)
+        if parts.path == "/log-newest":
+            return self._read_newest(query)
+        return Reply(render_status_line(404), b"")
+
+    def _get(self, topic: str, part: int) -> Partition:
+        return self._partitions.setdefault((topic, part), Partition())
+
+    def _add(self, partition: Partition, records: list[bytes], keyed: bool) -> int:
+        offset = partition.end
+        for number, record in enumerate(records):
+            partition.records.append(record)
+            if keyed:
+                end = 1 + record[0]
+                key = record[1:end].decode()
+                partition.newest[key] = (record[end:], offset + number)
+                if not record[end:]:
+                    del partition.newest[key]
+        asyncio.ensure_future(self._notify())
+        return offset
+
+    async def _notify(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _append(self, query: dict[str, str], body: bytes) -> Reply:
+        topic = query["topic"]
+        if topic in ("keyed.op", "keyed.servers"):
+            return Reply(render_status_line(403), b"")
+        partition = self._get(topic, int(query["part"]))
+        if "as_of" in query and int(query["as_of"]) != partition.end:
+            body = json.dumps({"end": partition.end}).encode()
+            return Reply(render_status_line(412) + JSON_TYPE, body)
+        records = []
+        start = 0
+        while start < len(body):
+            (length,) = LENGTH.unpack_from(body, start)
+            start += LENGTH.size
+            records.append(body[start : start + length])
+            start += length
+        offset = self._add(partition, records, topic.startswith(KEYED_PREFIX))
+        if self.faults.lose_answers:
+            await asyncio.Event().wait()
+        answer = json.dumps({"offset": offset, "end": partition.end}).encode()
+        return Reply(render_status_line(200) + JSON_TYPE, answer)
+
+    async def _read(self, query: dict[str, str]) -> Reply:
+        partition = self._get(query["topic"], int(query["part"]))
+        start = int(query["from"])
+        wait = int(query.get("wait_ms", "0")) / 1000
+        try:
+            async with asyncio.timeout(wait), self._changed:
+                await self._changed.wait_for(lambda: partition.end > start)
+        except TimeoutError:
+            # Nothing came: the answer says so with its positions.
+            pass
+        if start < partition.first:
+            body = json.dumps({"first": partition.first}).encode()
+            return Reply(render_status_line(410) + JSON_TYPE, body)
+        records = partition.records[start - partition.first :]
+        data = POSITIONS.pack(partition.end, partition.first)
+        data += b"".join(LENGTH.pack(len(item)) + item for item in records)
+        return Reply(render_status_line(200) + RAW_TYPE, data)
+
+    def _read_newest(self, query: dict[str, str]) -> Reply:
+        partition = self._get(query["topic"], int(query["part"]))
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (value, offset) in sorted(partition.newest.items())
+            if key > query.get("after", "")
+        ]
+        page = {"items": items[:500], "truncated": len(items) > 500}
+        body = json.dumps(page | {"end": partition.end}).encode()
+        return Reply(render_status_line(200) + JSON_TYPE, body)
