Count requests and latencies; tell changes of state at once; tests of path and faults

Cause: a drain reached the other nodes only with their next heartbeat, and the metrics address of the settings served nothing. Change: pings carry a state when it changed; prometheus metrics rendered when asked; tests over stand-ins of the platform's store and backend servers.

--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -10,6 +10,7 @@
 from .choice import Candidate
 from .fleet import Fleet
 from .frames import Call
+from .meter import Meter
 from .model import Route
 from .retry_budget import RetryBudget
 
@@ -84,6 +85,7 @@
         budget: Of repeats.
         own_calls: Counts runs at the own backend server.
         journal: Where repeats are told.
+        meter: Counts repeats.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         budget: RetryBudget,
         own_calls: OwnCalls,
         journal: Journal,
+        meter: Meter,
     ):
         self._node = node
         self._backend = backend
@@ -101,6 +104,7 @@
         self._budget = budget
         self._own_calls = own_calls
         self._journal = journal
+        self._meter = meter
 
     async def dispatch(self, call: OutgoingCall) -> Outcome:
         """Get a call answered.
@@ -152,6 +156,7 @@
             else:
                 if not self._may_repeat(call, arrivals):
                     return failed
+            self._meter.note_repeat(reason)
             self._journal.emit(
                 CALL_REPEATED,
                 request=call.request_id.decode("latin-1"),
--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -11,6 +11,7 @@
 from .dispatch import Dispatcher, Outcome, OutgoingCall, spread_retry
 from .fleet import Fleet
 from .http_server import Reply, Request
+from .meter import Meter
 from .model import rank_request, Route, Tenant
 from .policy_keeper import PolicyKeeper
 from .quota import Quotas
@@ -73,6 +74,7 @@
         fleet: For the number of nodes.
         dispatcher: Gets calls answered.
         journal: Where decisions are told.
+        meter: Counts outcomes.
         rng: Spreads times to come back.
     """
 
@@ -89,6 +91,7 @@
         fleet: Fleet,
         dispatcher: Dispatcher,
         journal: Journal,
+        meter: Meter,
         rng: random.Random,
     ):
         self._service = service
@@ -102,16 +105,20 @@
         self._fleet = fleet
         self._dispatcher = dispatcher
         self._journal = journal
+        self._meter = meter
         self._rng = rng
 
     async def handle(self, request: Request) -> Reply:
         """Answer one request."""
         fields = self._dialect.read_request(request)
         try:
-            outcome = await self._answer(request, fields)
+            route = self._find_route(request, fields)
         except Refusal as refusal:
-            self._tell_refusal(request, fields, refusal)
-            return self._dialect.render_refusal(fields.request_id, refusal)
+            return self._refuse(request, fields, "", refusal)
+        try:
+            outcome = await self._answer(request, fields, route)
+        except Refusal as refusal:
+            return self._refuse(request, fields, route.name, refusal)
         except asyncio.CancelledError:
             raise
         except Exception as error:
@@ -121,22 +128,27 @@
                 error=f"{type(error).__name__}: {error}",
             )
             refusal = may_have_run(Reason.ANSWER_BROKEN, "the node failed")
-            return self._dialect.render_refusal(fields.request_id, refusal)
-        if outcome.status >= 500:
+            return self._refuse(request, fields, route.name, refusal)
+        seconds = self._get_time() - request.arrived
+        failed = outcome.status >= 500
+        text = f"status-{outcome.status}" if failed else "served"
+        self._meter.note_end(route.name, text, seconds)
+        if failed:
             self._journal.emit(
                 CALL_ANSWERED,
                 request=fields.request_id.decode("latin-1"),
                 status=outcome.status,
                 node=outcome.node,
-                seconds=round(self._get_time() - request.arrived, 4),
+                seconds=round(seconds, 4),
             )
         return Reply(outcome.head, outcome.body)
 
     def _get_time(self) -> float:
         return asyncio.get_running_loop().time()
 
-    async def _answer(self, request: Request, fields: CallerFields) -> Outcome:
-        route = self._find_route(request, fields)
+    async def _answer(
+        self, request: Request, fields: CallerFields, route: Route
+    ) -> Outcome:
         tenant = self._find_tenant(route, fields)
         # Callers and the backend server use the same address of this machine; but
         # only what the backend server calls is open to those without a key.
@@ -224,17 +236,22 @@
             detail = "a service that it leads to is overloaded"
             raise not_run(Reason.OVERLOADED, detail, retry)
 
-    def _tell_refusal(
-        self, request: Request, fields: CallerFields, refusal: Refusal
-    ) -> None:
+    def _refuse(
+        self, request: Request, fields: CallerFields, route: str, refusal: Refusal
+    ) -> Reply:
+        seconds = self._get_time() - request.arrived
+        self._meter.note_end(route, refusal.reason.code, seconds)
         self._journal.emit(
             CALL_REFUSED,
             request=fields.request_id.decode("latin-1"),
             reason=refusal.reason.code,
             verdict=refusal.verdict.value,
             detail=refusal.detail,
+            route=route,
             target=request.target[:60].decode("latin-1"),
             policy=self._policies.version,
             policy_age=round(min(self._policies.age, 1e6), 3),
-            seconds=round(self._get_time() - request.arrived, 4),
+            retry_after=refusal.retry_after,
+            seconds=round(seconds, 4),
         )
+        return self._dialect.render_refusal(fields.request_id, refusal)
--- a/primroseglade/sidecar/frames.py
+++ b/primroseglade/sidecar/frames.py
@@ -31,10 +31,10 @@
 
 
 class Ping(msgspec.Struct, array_like=True, tag=2):
-    """Asks for a pong at once, and tells the sender's state."""
+    """Asks for a pong at once; tells the sender's state where that has changed."""
 
     id: int
-    state: NodeState
+    state: NodeState | None = None
 
 
 class Pong(msgspec.Struct, array_like=True, tag=3):
--- a/primroseglade/sidecar/http_server.py
+++ b/primroseglade/sidecar/http_server.py
@@ -68,14 +68,25 @@
 
 
 class Reply:
-    """An answer: its head up to the headers of this connection, and its body."""
+    """An answer.
 
-    __slots__ = ("body", "close", "head")
+    Args:
+        head: Status line and headers, but for those of this connection.
+        body: The whole body.
+        close: Whether the connection ends with it.
+        framed: Whether its length and the end of the head are to be added; stand-ins
+            of faulty servers write their own.
+    """
 
-    def __init__(self, head: bytes, body: bytes, close: bool = False):
+    __slots__ = ("body", "close", "framed", "head")
+
+    def __init__(
+        self, head: bytes, body: bytes, close: bool = False, framed: bool = True
+    ):
         self.head = head
         self.body = body
         self.close = close
+        self.framed = framed
 
 
 Handler = Callable[[Request], Awaitable[Reply]]
@@ -172,6 +183,7 @@
 
     __slots__ = (
         "_body",
+        "_chunk",
         "_current",
         "_headers",
         "_method",
@@ -201,6 +213,7 @@
         self._since = asyncio.get_running_loop().time()
         self._peer = ""
         self._too_large = 0
+        self._chunk = 0
         self._reset()
 
     @property
@@ -237,6 +250,7 @@
             return
         if not self._current and not self._working:
             self._since = asyncio.get_running_loop().time()
+        self._chunk = len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -264,6 +278,9 @@
 
     def on_headers_complete(self) -> None:
         """Parser callback."""
+        if self._size + self._chunk > self._server.limits.header_bytes:
+            # Only then are the headers worth adding up: a body may be in the chunk.
+            self._check_head_size()
         self._size = 0
         self._method = self._parser.get_method()
         for name, value in self._headers:
@@ -330,6 +347,13 @@
         self._size = 0
         self._method = b""
 
+    def _check_head_size(self) -> None:
+        size = len(self._target)
+        size += sum(len(name) + len(value) + 4 for name, value in self._headers)
+        if size > self._server.limits.header_bytes:
+            self._too_large = 431
+            raise ValueError("larger than callers may send")
+
     def _refuse_malformed(self, status: int) -> None:
         """Answer bytes that are no acceptable request, and end the connection."""
         self._too_large = status
@@ -364,6 +388,9 @@
 
     def _send(self, request: Request, reply: Reply) -> bool:
         """Write an answer and return whether the connection goes on."""
+        if not reply.framed:
+            self._write(reply.head + reply.body)
+            return not reply.close
         stays = request.keep_alive and not reply.close and not self._server.stopping
         connection = b"" if stays else b"Connection: close\r\n"
         length = b""
--- /dev/null
+++ b/primroseglade/sidecar/meter.py
@@ -0,0 +1,133 @@
+"""Counters and latency histograms of a node, rendered when they are asked for.
+
+The metrics library is imported with the first question: it is a fifth of a node's
+memory, and most nodes of a fleet are never asked.
+"""
+
+import bisect
+import collections
+from collections.abc import Iterator
+from typing import Any, TYPE_CHECKING
+
+from .http_server import render_status_line, Reply, Request
+
+if TYPE_CHECKING:
+    from .node import SidecarNode
+
+# Upper bounds in seconds: targets of usual routes lie between 0.1 and 1.5 s.
+BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 10.0)
+# Routes that are counted by name; the rest is counted together, so that a
+# configuration of thousands of routes does not fill the memory.
+ROUTES_NAMED = 200
+OTHER_ROUTES = "other"
+PREFIX = "primroseglade_"
+
+
+class Latencies:
+    """A histogram of one route."""
+
+    __slots__ = ("counts", "total")
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS) + 1)
+        self.total = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Count one request."""
+        self.counts[bisect.bisect_left(BUCKETS, seconds)] += 1
+        self.total += seconds
+
+
+class Meter:
+    """What a node counts."""
+
+    def __init__(self) -> None:
+        self._outcomes: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._repeats: collections.Counter[str] = collections.Counter()
+        self._latencies: dict[str, Latencies] = {}
+
+    def note_end(self, route: str, outcome: str, seconds: float) -> None:
+        """Count a request of a caller or of the own backend server.
+
+        Args:
+            route: Its route's name, empty where it has none.
+            outcome: ``served``, a status of the backend server, or a refusal's reason.
+            seconds: From its arrival to its answer.
+        """
+        if route not in self._latencies and len(self._latencies) >= ROUTES_NAMED:
+            route = OTHER_ROUTES
+        latencies = self._latencies.get(route)
+        if latencies is None:
+            latencies = self._latencies[route] = Latencies()
+        latencies.observe(seconds)
+        self._outcomes[route, outcome] += 1
+
+    def note_repeat(self, reason: str) -> None:
+        """Count a further attempt."""
+        self._repeats[reason] += 1
+
+    def render(self, node: "SidecarNode") -> bytes:
+        """Return all metrics as text."""
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(_Collector(self, node))
+        return generate_latest(registry)
+
+    def collect(self, node: "SidecarNode") -> Iterator[Any]:
+        """Yield all metrics as the library's families."""
+        from prometheus_client import core
+
+        requests = core.CounterMetricFamily(
+            PREFIX + "requests", "Requests by outcome.", labels=["route", "outcome"]
+        )
+        for (route, outcome), count in self._outcomes.items():
+            requests.add_metric([route, outcome], count)
+        yield requests
+        repeats = core.CounterMetricFamily(
+            PREFIX + "repeats", "Further attempts, by why.", labels=["reason"]
+        )
+        for reason, count in self._repeats.items():
+            repeats.add_metric([reason], count)
+        yield repeats
+        seconds = core.HistogramMetricFamily(
+            PREFIX + "request_seconds",
+            "Time from arrival to answer.",
+            labels=["route"],
+        )
+        for route, latencies in self._latencies.items():
+            seconds.add_metric([route], _cumulate(latencies), latencies.total)
+        yield seconds
+        for name, text, value in node.list_gauges():
+            yield core.GaugeMetricFamily(PREFIX + name, text, value=value)
+
+
+class _Collector:
+    """Hands a meter's metrics to the library."""
+
+    def __init__(self, meter: Meter, node: "SidecarNode"):
+        self._meter = meter
+        self._node = node
+
+    def collect(self) -> Iterator[Any]:
+        """Yield all metrics."""
+        return self._meter.collect(self._node)
+
+
+def _cumulate(latencies: Latencies) -> list[tuple[str, float]]:
+    count = 0
+    buckets = []
+    for bound, own in zip((*map(str, BUCKETS), "+Inf"), latencies.counts, strict=True):
+        count += own
+        buckets.append((bound, float(count)))
+    return buckets
+
+
+def build_metrics(node: "SidecarNode") -> Any:
+    """Return what answers requests for metrics."""
+
+    async def handle(request: Request) -> Reply:
+        head = render_status_line(200) + b"Content-Type: text/plain; version=0.0.4\r\n"
+        return Reply(head, node.meter.render(node))
+
+    return handle
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -23,6 +23,7 @@
 from .fleet import Fleet
 from .frames import PolicyAnswer
 from .http_server import Handler, HttpServer
+from .meter import build_metrics, Meter
 from .model import (
     BackendState,
     NodeEntry,
@@ -208,6 +209,7 @@
         self.admission = Admission(self._rng)
         self.graph = CallGraph()
         self.own_calls = OwnCalls()
+        self.meter = Meter()
         self.budget = RetryBudget(
             settings.retry_ratio, settings.retry_fixed, settings.retry_window
         )
@@ -218,6 +220,7 @@
             self.budget,
             self.own_calls,
             journal,
+            self.meter,
         )
         self.entry_point = Entry(
             settings.service,
@@ -231,6 +234,7 @@
             self.fleet,
             self.dispatcher,
             journal,
+            self.meter,
             self._rng,
         )
         self._peer_server = PeerServer(settings.peers, self, self.dispatcher, journal)
@@ -239,6 +243,7 @@
         )
         self._ready = HttpServer(settings.ready, build_ready(self))
         self._control = HttpServer(settings.control, build_control(self))
+        self._metrics = HttpServer(settings.metrics, build_metrics(self))
 
     @property
     def entry(self) -> NodeEntry:
@@ -281,7 +286,8 @@
     async def abort(self) -> None:
         """End without notice, as a killed process does; for tests."""
         self._peer_server.abort()
-        for server in (self._outbound, self._ready, self._control):
+        servers = (self._outbound, self._ready, self._control, self._metrics)
+        for server in servers:
             server.abort()
         await self._supervisor.close()
         await self._store.close()
@@ -328,6 +334,39 @@
             self._drains.pop(next(iter(self._drains)))
         self._drains[instance] = born
 
+    def take_pushed(self, name: str, state: NodeState) -> None:
+        """Take in a state that a node told without being asked."""
+        peer = self.fleet.get(name)
+        if peer is not None:
+            peer.take_pushed(state)
+
+    def list_gauges(self) -> list[tuple[str, str, float]]:
+        """Return name, meaning and value of what is measured now."""
+        queue = self.backend.queue
+        age = min(self.policies.age, 1e6)
+        return [
+            (
+                "occupied",
+                "Calls at work and waiting at the backend server.",
+                self.occupied,
+            ),
+            ("slots", "Calls that it is given at once.", queue.limit),
+            ("service_seconds", "Usual time of work there.", queue.service_seconds),
+            (
+                "failing_ratio",
+                "Share of calls that failed there.",
+                self.backend.failing,
+            ),
+            (
+                "peers",
+                "Nodes to which a stream is open.",
+                len(self.fleet.list_connected()),
+            ),
+            ("policy_version", "Configuration in force.", self.policies.version),
+            ("policy_age_seconds", "For which a newer one may exist unseen.", age),
+            ("in_flight", "Requests under way at this node.", self._count_busy()),
+        ]
+
     def learn_drains(self, drains: dict[str, int]) -> None:
         """Take in which backend servers leave, as a peer remembers."""
         self._drains_known = True
@@ -380,6 +419,7 @@
             ("outbound", self._outbound.run),
             ("ready", self._ready.run),
             ("control", self._control.run),
+            ("metrics", self._metrics.run),
             ("policy", self.policies.follow),
             ("policy age", self.policies.confirm),
             ("introduction", self._introduce),
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -170,7 +170,11 @@
 
     def push_state(self) -> None:
         """Tell the node what changed here, ahead of the next heartbeat."""
-        self._ping()
+        self._ping(self._host.build_state())
+
+    def take_pushed(self, state: NodeState) -> None:
+        """Take in a state that the node told without being asked."""
+        self._take_state(state, 0.0)
 
     def _build_refusal(self, reply: CallRefused) -> Refusal:
         reason = Reason.from_code(reply.reason) or Reason.OVERLOADED
@@ -226,13 +230,13 @@
     def _choose_period(self) -> float:
         return HEARTBEAT_SECONDS * random.uniform(0.8, 1.2)
 
-    def _ping(self) -> None:
+    def _ping(self, state: NodeState | None = None) -> None:
         self._last_id += 1
         self._ping_id = self._last_id
         self._ping_sent_at = asyncio.get_running_loop().time()
         self._ping_asked_at = read_age_clock()
         self._ping_open = True
-        self._send(Ping(self._last_id, self._host.build_state()))
+        self._send(Ping(self._ping_id, state))
 
     def _send(self, frame: Frame) -> None:
         if self._stream is not None:
--- a/primroseglade/sidecar/peer_server.py
+++ b/primroseglade/sidecar/peer_server.py
@@ -50,6 +50,9 @@
     def note_drain(self, instance: str, born: int) -> None:
         """Remember that a backend server beside another node leaves."""
 
+    def take_pushed(self, name: str, state: NodeState) -> None:
+        """Take in a state that a node told without being asked."""
+
     def greet(self, entry: NodeEntry) -> None:
         """Take in a node that introduces itself."""
 
@@ -72,6 +75,7 @@
         self._dispatcher = dispatcher
         self._journal = journal
         self._streams: dict[FrameStream, dict[int, asyncio.Task[None]]] = {}
+        self._names: dict[FrameStream, str] = {}
 
     @property
     def busy(self) -> int:
@@ -115,9 +119,12 @@
                 task.cancel()
         elif isinstance(frame, Ping):
             stream.send(Pong(frame.id, self._host.build_state()))
+            if frame.state is not None:
+                self._host.take_pushed(self._names.get(stream, ""), frame.state)
         elif isinstance(frame, Hello):
             state = self._host.build_state()
             stream.send(Hello(self._host.entry, state, self._host.drains))
+            self._names[stream] = frame.entry.name
             self._host.greet(frame.entry)
         elif isinstance(frame, PolicyRequest):
             stream.send(self._host.build_policy_answer(frame.id))
@@ -126,6 +133,7 @@
             stream.send(DrainNoted(frame.id))
 
     def _note_lost(self, stream: FrameStream, reason: str) -> None:
+        self._names.pop(stream, None)
         # The node that sent them is gone, or nothing reaches it: nobody waits.
         for task in list(self._streams.pop(stream, {}).values()):
             task.cancel()
--- /dev/null
+++ b/tests/test_mesh_faults.py
@@ -0,0 +1,220 @@
+"""What nodes do when backend servers, the store, peers or they themselves fail."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from .mesh import ask, build_configuration, build_path, Mesh, Place, run_mesh
+
+PATHS = (build_path("front", "front"), build_path("deep", "deep"))
+
+
+@pytest.fixture
+async def mesh() -> AsyncIterator[Mesh]:
+    """A node of one service and two of another."""
+    mesh = Mesh()
+    for service in ("front", "deep", "deep"):
+        mesh.add(service)
+    mesh.store.publish(build_configuration(1, *PATHS))
+    async with run_mesh(mesh):
+        yield mesh
+
+
+async def wait_until(condition: object, seconds: float = 5.0) -> None:
+    """Wait until a function returns something true."""
+    async with asyncio.timeout(seconds):
+        while not condition():  # type: ignore[operator]
+            await asyncio.sleep(0.02)
+
+
+def count_all(place: Place) -> int:
+    """Return how many requests ran on a place's backend server."""
+    return len(place.backend.ran)
+
+
+async def test_a_backend_server_that_drains_gets_nothing_more(mesh: Mesh):
+    """From the acknowledgement on, calls go to the other one, and none fails."""
+    leaving, staying = mesh.places[1:]
+    leaving.backend.state = "draining"
+    assert await leaving.backend.report() == 200
+    before = count_all(leaving)
+    for number in range(20):
+        assert (await ask(mesh.places[0], "/deep/a", f"d{number}")).status == 200
+    assert count_all(leaving) == before
+    assert count_all(staying) >= 20
+
+
+async def test_a_late_report_does_not_bring_a_leaver_back(mesh: Mesh):
+    """A backend server that had said goodbye got requests again and cut them off:
+    a report that it was ready, sent before, came after.
+    """
+    leaving = mesh.places[1]
+    assert await leaving.backend.leave() == 200
+    assert await leaving.backend.report() == 200
+    assert leaving.node.backend.instance == ""
+
+
+async def test_a_report_of_an_earlier_lifetime_changes_nothing(mesh: Mesh):
+    """A backend server was taken out of use seconds after its start: its earlier
+    lifetime's last report, that it drains, had been held up by a cut.
+    """
+    place = mesh.places[1]
+    place.backend.born = 200
+    assert await place.backend.report() == 200
+    place.backend.born = 100
+    place.backend.state = "draining"
+    await place.backend.report()
+    place.backend.born = 200
+    place.backend.state = "ready"
+    assert place.node.backend.instance == place.backend.instance
+
+
+async def test_a_foreign_report_is_refused(mesh: Mesh):
+    """Reports of other writers name no backend server, and the one in use stays."""
+    place = mesh.places[1]
+    for body in (b"rubbish", b"{}", b'{"service": 3}'):
+        assert await place.backend.call_control("PUT", body) == 400
+    place.backend.service = "other"
+    await place.backend.report()
+    assert place.node.backend.instance == place.backend.instance
+
+
+async def test_an_acknowledged_leave_outlives_the_node(mesh: Mesh):
+    """A backend server got requests long after it had been told that it would get
+    none: the node had acknowledged its leaving, was killed, and started again with
+    a report that was on its way before.
+    """
+    place = mesh.places[1]
+    place.backend_task.cancel()
+    assert await place.backend.leave() == 200
+    await place.kill_node()
+    place.start_node_again(first_start=False)
+    await wait_until(lambda: place.node.ready)
+    await place.backend.report()
+    assert place.node.backend.instance == ""
+
+
+async def test_a_leave_is_kept_by_peers_while_the_store_is_away(mesh: Mesh):
+    """The store is down when a backend server leaves: it is acknowledged all the
+    same, and holds after the node was killed, since other nodes remember it.
+    """
+    place = mesh.places[1]
+    place.backend_task.cancel()
+    mesh.store.faults.down = 503
+    assert await place.backend.leave() == 200
+    await place.kill_node()
+    place.start_node_again(first_start=False)
+    mesh.store.faults.down = 0
+    mesh.store._partitions.pop(("keyed.primroseglade-drains", 0), None)
+    await wait_until(lambda: len(list(place.node.fleet)) == 2)
+    await wait_until(lambda: len(place.node.fleet.list_connected()) == 2)
+    await place.backend.report()
+    assert place.node.backend.instance == ""
+
+
+async def test_a_withdrawn_key_stops_working(mesh: Mesh):
+    """The operator takes a key away; no node uses it a moment later."""
+    configuration = build_configuration(2, *PATHS)
+    configuration["tenants"][0]["api_keys"] = ["key-2"]
+    mesh.store.publish(configuration)
+    await wait_until(lambda: all(p.node.policies.version == 2 for p in mesh.places))
+    for place in mesh.places:
+        assert (await ask(place, "/deep/a", key="key-1")).status == 401
+        assert (await ask(place, "/deep/a", key="key-2")).status == 200
+
+
+async def test_keys_are_refused_once_they_may_have_been_withdrawn():
+    """A withdrawn key went on working at nodes that could not reach the store. A node
+    that does not know whether a key still holds refuses it as not run.
+    """
+    mesh = Mesh()
+    for service in ("front", "deep"):
+        mesh.add(service, revoke=1.5)
+    paths = [*PATHS, build_path("inner", "deep", public=True)]
+    mesh.store.publish(build_configuration(1, *paths))
+    async with run_mesh(mesh):
+        assert (await ask(mesh.places[0], "/deep/a")).status == 200
+        mesh.store.faults.silent = True
+        await asyncio.sleep(2.0)
+        assert (await ask(mesh.places[0], "/deep/a")).status == 503
+        assert (await ask(mesh.places[0], "/inner/a", key=None)).status == 200
+        mesh.store.faults.silent = False
+        await wait_until(lambda: mesh.places[0].node.policies.fresh, 8.0)
+        assert (await ask(mesh.places[0], "/deep/a")).status == 200
+
+
+async def test_news_is_taken_after_the_history_was_forgotten(mesh: Mesh):
+    """A configuration was not in force anywhere: the store had deleted the records
+    between the position of the nodes and the newest.
+    """
+    mesh.store.publish(build_configuration(2, *PATHS))
+    mesh.store.publish(build_configuration(3, *PATHS))
+    mesh.store.forget_history()
+    await wait_until(lambda: all(p.node.policies.version == 3 for p in mesh.places))
+    mesh.store.publish(build_configuration(4, *PATHS))
+    await wait_until(lambda: all(p.node.policies.version == 4 for p in mesh.places))
+
+
+async def test_an_older_configuration_never_comes_back(mesh: Mesh):
+    """A version is in force until a newer one is, whatever the store hands out."""
+    mesh.store.publish(build_configuration(5, *PATHS))
+    await wait_until(lambda: mesh.places[0].node.policies.version == 5)
+    mesh.store.publish(build_configuration(4, *PATHS))
+    await asyncio.sleep(0.4)
+    assert mesh.places[0].node.policies.version == 5
+
+
+async def test_a_stop_cuts_nothing_off(mesh: Mesh):
+    """During a planned stop of a node callers are served: what runs ends whole, and
+    what comes still goes to the other backend server.
+    """
+    stopping = mesh.places[1]
+    for place in mesh.places[1:]:
+        place.backend.work = 0.5
+    running = [
+        asyncio.create_task(ask(mesh.places[0], "/deep/a", f"r{number}"))
+        for number in range(12)
+    ]
+    await asyncio.sleep(0.2)
+    stopping.stopping.set()
+    await asyncio.sleep(0.1)
+    late = [
+        asyncio.create_task(ask(mesh.places[0], "/deep/a", f"l{number}"))
+        for number in range(12)
+    ]
+    at_it = asyncio.create_task(ask(stopping, "/deep/a", "at"))
+    answers = await asyncio.gather(*running, *late, at_it)
+    assert [answer.status for answer in answers] == [200] * 25
+    assert not any(request.startswith("l") for request in stopping.backend.ran)
+
+
+async def test_a_killed_node_costs_only_what_was_on_it(mesh: Mesh):
+    """A node dies; calls that may run twice are answered by another."""
+    for place in mesh.places[1:]:
+        place.backend.work = 0.4
+    running = [
+        asyncio.create_task(ask(mesh.places[0], "/deep/a", f"r{number}"))
+        for number in range(8)
+    ]
+    await asyncio.sleep(0.15)
+    await mesh.places[1].kill_node()
+    answers = await asyncio.gather(*running)
+    assert [answer.status for answer in answers] == [200] * 8
+    mesh.places[1].start_node_again(first_start=False)
+    await mesh.wait_usable()
+    assert (await ask(mesh.places[1], "/deep/a")).status == 200
+
+
+async def test_a_node_without_the_store_follows_its_peers(mesh: Mesh):
+    """One node is cut off from the store alone: it hears of news from the others."""
+    cut = mesh.places[2]
+
+    async def fail(*arguments: object) -> None:
+        raise OSError("cut")
+
+    cut.node._store._pool._dial = fail
+    cut.node._store._pool.close_idle()
+    mesh.store.publish(build_configuration(7, *PATHS))
+    await wait_until(lambda: cut.node.policies.version == 7)
+    assert cut.node.policies.fresh
--- /dev/null
+++ b/tests/test_mesh_path.py
@@ -0,0 +1,258 @@
+"""Requests through two nodes to a backend server, and what may go wrong there."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from primroseglade.sidecar.http_client import ConnectionPool
+from primroseglade.sidecar.http_server import render_status_line, Reply, Request
+
+from .mesh import (
+    ask,
+    build_configuration,
+    build_path,
+    find_address,
+    get_header,
+    HOST,
+    Mesh,
+    run_mesh,
+)
+
+PATHS = (
+    build_path("front", "front"),
+    build_path("deep", "deep"),
+    build_path("once", "deep", kind="unsafe"),
+    build_path("inner", "deep", public=True),
+)
+
+
+@pytest.fixture
+async def mesh() -> AsyncIterator[Mesh]:
+    """A node of one service and two of another."""
+    mesh = Mesh()
+    for service in ("front", "deep", "deep"):
+        mesh.add(service)
+    mesh.store.publish(build_configuration(1, *PATHS))
+    async with run_mesh(mesh):
+        yield mesh
+
+
+def count_runs(mesh: Mesh, request_id: str) -> int:
+    """Return on how many backend servers a request ran."""
+    return sum(place.backend.ran.count(request_id) for place in mesh.places)
+
+
+async def test_a_request_reaches_the_service_of_its_route(mesh: Mesh):
+    """The answer is the backend server's, and it sees who called and for whom."""
+    front = mesh.places[0]
+    spoofed = "X-Primroseglade-Tenant: south\r\nX-Primroseglade-Caller-Service: x\r\n"
+    answer = await ask(front, "/deep/a?b=c", headers=spoofed)
+    assert answer.status == 200
+    assert answer.body.startswith(b"served by i-deep")
+    assert get_header(answer, "x-primroseglade-upstream-seal") == "s1"
+    (seen,) = [seen for place in mesh.places for seen in place.backend.seen]
+    assert seen["x-primroseglade-tenant"] == "north"
+    assert seen["x-primroseglade-caller-service"] == "front"
+    assert 0 < int(seen["x-primroseglade-deadline-ms"]) <= 2000
+    assert "authorization" not in seen
+
+
+async def test_requests_that_are_not_allowed_do_not_run(mesh: Mesh):
+    """Unknown keys and paths are told apart; calls of backend servers need no key."""
+    front = mesh.places[0]
+    assert (await ask(front, "/deep/a", key="stranger")).status == 401
+    assert (await ask(front, "/deep/a", key=None)).status == 401
+    assert (await ask(front, "/nowhere/a")).status == 404
+    assert not any(place.backend.ran for place in mesh.places)
+    assert (await ask(front, "/inner/a", key=None)).status == 200
+
+
+async def test_a_late_second_answer_is_not_taken_for_the_next(mesh: Mesh):
+    """A caller got the answer to somebody else's request: a faulty backend server
+    had answered one request twice, the second time after the next request had been
+    sent on the same connection.
+    """
+    deep = mesh.places[1]
+    mesh.places[2].backend.state = "draining"
+    await mesh.places[2].backend.report()
+    backend = deep.backend
+
+    def answer_twice(request: Request, headers: dict[str, str]) -> Reply:
+        request_id = headers["x-primroseglade-request-id"]
+        whole = backend.build_answer(request_id, request_id.encode())
+        if request_id != "second":
+            return whole
+        stray = backend.build_answer("first", b"stray")
+        length = b"Content-Length: %d\r\n\r\n" % len(stray.body)
+        both = stray.head + length + stray.body + whole.head
+        length = b"Content-Length: %d\r\n\r\n" % len(whole.body)
+        return Reply(both + length, whole.body, framed=False)
+
+    backend.answer = answer_twice
+    for request_id in ("first", "second", "third"):
+        answer = await ask(mesh.places[0], "/deep/a", request_id)
+        assert answer.status == 200
+        assert answer.body == request_id.encode()
+
+
+async def test_a_broken_answer_is_not_handed_on(mesh: Mesh):
+    """A caller got half a page that looked whole. A backend server broke off in the
+    middle of its answer; what may run twice is then answered by another one, and
+    what may not gets a failure that promises nothing.
+    """
+    breaking = mesh.places[1].backend
+    healthy = mesh.places[2].backend
+
+    def break_off(request: Request, headers: dict[str, str]) -> Reply:
+        head = render_status_line(200) + b"X-Primroseglade-Upstream-Seal: s\r\n"
+        head += b"Content-Length: 99\r\n\r\nhalf"
+        return Reply(head, b"", close=True, framed=False)
+
+    breaking.answer = break_off
+    for number in range(12):
+        request_id = f"safe-{number}"
+        answer = await ask(mesh.places[0], "/deep/a", request_id)
+        assert answer.status == 200
+        assert healthy.ran.count(request_id) == 1
+        assert count_runs(mesh, request_id) <= 2
+    for number in range(12):
+        request_id = f"once-{number}"
+        answer = await ask(
+            mesh.places[0], "/once/a", request_id, method="POST", body=b"x"
+        )
+        assert answer.status in (200, 502)
+        assert count_runs(mesh, request_id) == 1
+
+
+async def test_a_success_without_signature_is_a_failure(mesh: Mesh):
+    """Bytes that only look like an answer are not the backend server's."""
+
+    def forge(request: Request, headers: dict[str, str]) -> Reply:
+        request_id = headers["x-primroseglade-request-id"].encode()
+        head = render_status_line(200) + b"X-Primroseglade-Request-Id: %b\r\n"
+        return Reply(head % request_id, b"forged")
+
+    for place in mesh.places[1:]:
+        place.backend.answer = forge
+    answer = await ask(mesh.places[0], "/once/a", "forged", method="POST")
+    assert answer.status == 502
+
+
+async def test_an_answer_that_ends_with_its_connection_is_whole(mesh: Mesh):
+    """HTTP allows answers without a length; the caller gets them with one."""
+
+    def answer_unframed(request: Request, headers: dict[str, str]) -> Reply:
+        request_id = headers["x-primroseglade-request-id"].encode()
+        head = (
+            render_status_line(200)
+            + b"X-Primroseglade-Request-Id: %b\r\n" % request_id
+            + b"X-Primroseglade-Upstream-Seal: s\r\nConnection: close\r\n\r\nall of it"
+        )
+        return Reply(head, b"", close=True, framed=False)
+
+    for place in mesh.places[1:]:
+        place.backend.answer = answer_unframed
+    answer = await ask(mesh.places[0], "/deep/a", "unframed")
+    assert answer.status == 200
+    assert answer.body == b"all of it"
+
+
+async def test_a_caller_that_leaves_ends_the_work_below(mesh: Mesh):
+    """Backend servers were busy for callers that had long gone: the node beside them
+    did not hear that the connection at the other node was closed.
+    """
+    for place in mesh.places[1:]:
+        place.backend.work = 5.0
+    asking = asyncio.create_task(ask(mesh.places[0], "/deep/a", "left"))
+    await asyncio.sleep(0.3)
+    assert count_runs(mesh, "left") == 1
+    asking.cancel()
+    await asyncio.sleep(0.4)
+    assert sum(place.backend.cancelled for place in mesh.places) == 1
+    assert all(place.node.occupied == 0 for place in mesh.places)
+
+
+async def test_time_is_up_when_the_route_says_so(mesh: Mesh):
+    """A route's timeout ends a request whose caller would wait for longer."""
+    paths = [build_path("short", "deep", timeout="300ms"), *PATHS]
+    mesh.store.publish(build_configuration(2, *paths))
+    await asyncio.sleep(0.3)
+    for place in mesh.places[1:]:
+        place.backend.work = 5.0
+    started = asyncio.get_running_loop().time()
+    answer = await ask(mesh.places[0], "/short/a", remaining_ms=5000)
+    assert answer.status in (502, 504)
+    assert asyncio.get_running_loop().time() - started < 0.8
+
+
+async def test_a_refusal_that_says_not_run_is_true(mesh: Mesh):
+    """All backend servers refuse; the caller learns that it may come back."""
+
+    def refuse(request: Request, headers: dict[str, str]) -> Reply:
+        head = render_status_line(503) + b"X-Primroseglade-Not-Executed: 1\r\n"
+        return Reply(head, b"")
+
+    for place in mesh.places[1:]:
+        place.backend.answer = refuse
+    answer = await ask(mesh.places[0], "/once/a", "refused", method="POST")
+    assert answer.status == 503
+    assert 0 < float(get_header(answer, "retry-after")) < 2.0 / 3
+
+
+async def test_a_body_goes_through_whole(mesh: Mesh):
+    """A large body reaches the backend server as it was sent."""
+    received: list[bytes] = []
+
+    def note(request: Request, headers: dict[str, str]) -> Reply:
+        received.append(request.body)
+        backend = mesh.places[1].backend
+        return backend.build_answer(headers["x-primroseglade-request-id"], b"ok")
+
+    for place in mesh.places[1:]:
+        place.backend.answer = note
+    body = bytes(range(256)) * 1500
+    answer = await ask(mesh.places[0], "/once/a", "large", method="POST", body=body)
+    assert answer.status == 200
+    assert received == [body]
+
+
+async def test_a_connection_carries_many_requests(mesh: Mesh):
+    """Bytes of one request never become part of the next one's answer."""
+    pool = ConnectionPool(mesh.places[0].settings.outbound, 1.0)
+    connection = await pool.acquire()
+    for number in range(20):
+        head = (
+            f"GET /deep/{number} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"X-Primroseglade-Request-Id: k{number}\r\n"
+            f"X-Primroseglade-Deadline-Ms: 2000\r\nAuthorization: Token key-1\r\n\r\n"
+        )
+        answer = await connection.exchange(head.encode())
+        assert get_header(answer, "x-primroseglade-request-id") == f"k{number}"
+    connection.close()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: -3\r\n\r\n",
+        b"rubbish\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 20_000 + b"\r\n\r\n",
+    ],
+)
+async def test_bytes_that_are_no_request_are_refused(mesh: Mesh, text: bytes):
+    """A request inside a request never reaches a backend server."""
+    host, port = mesh.places[0].settings.outbound.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(text)
+    answer = await asyncio.wait_for(reader.read(), 2.0)
+    assert answer.startswith((b"HTTP/1.1 400", b"HTTP/1.1 431"))
+    writer.close()
+    assert not any(place.backend.ran for place in mesh.places)
+
+
+def test_free_addresses_differ():
+    """The helper of these tests does not hand out one address twice in a row."""
+    assert find_address() != find_address()
