Hand out each test address once

Cause: two of the addresses that one test drew could be the same (about 2 % of tests), so that a node never came up. Ruled out: load (it failed alone too). Change: each port is handed out once, from below the kernel's own range.

--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 from collections.abc import AsyncIterator
 from typing import Any
@@ -18,11 +19,22 @@
 HOST = "api.example"
 
 
+# Below the ports that the kernel gives to outgoing connections: one of those, found
+# free, is often taken by a connection of the same test before it is listened on.
+# Each is handed out once: two nodes with one port would never come up.
+PORTS = iter(random.sample(range(20_000, 32_000), 12_000))
+
+
 def find_address() -> str:
-    """Return a loopback address that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address that is free now and stays so."""
+    for port in PORTS:
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return f"127.0.0.1:{port}"
+    raise AssertionError("no port is free")
 
 
 def build_path(name: str, service: str, **changes: Any) -> dict[str, Any]:
@@ -161,9 +173,24 @@
 
     async def wait_usable(self, seconds: float = 5.0) -> None:
         """Wait until every node knows all others and their backend servers."""
-        async with asyncio.timeout(seconds):
-            while not all(self._sees_all(place) for place in self.places):
-                await asyncio.sleep(0.02)
+        try:
+            async with asyncio.timeout(seconds):
+                while not all(self._sees_all(place) for place in self.places):
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            raise AssertionError(self.describe()) from None
+
+    def describe(self) -> str:
+        """Return what each node sees, for a failed test's report."""
+        lines = []
+        for place in self.places:
+            node = place.node
+            lines.append(
+                f"{place.settings.name}: version {node.policies.version}, "
+                f"backend {node.backend.instance!r}, peers "
+                f"{[(p.entry.name, p.connected, p.state.instance) for p in node.fleet]}"
+            )
+        return "\n".join(lines)
 
     def _sees_all(self, place: Place) -> bool:
         node = place.node
