--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -6,22 +6,31 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Mapping
+
+from .retry_budget import SlidingCount
 
 # How often levels are set, in seconds: as often as heartbeats tell new loads.
 STEP_SECONDS = 0.25
 # Calls at work and waiting for each slot in use. Above the first, work piles up and
-# levels fall; below the second there is room and they rise. Between them a short
+# the level falls; below the second there is room and it rises. Between them a short
 # queue keeps the slots busy, and adds about half of the time of work to a call.
 TOO_BUSY = 1.5
 ROOM = 1.1
-# Part of one rank's requests by which a level falls in a step, for each call a slot
-# too many: a service at twice its load is relieved within a second.
-FALL = 0.12
-# Part by which it rises in a step where there is room; a rank is back in 5 s.
-RISE = 0.05
-# Of the most urgent rank some always pass, or nothing would show that there is room.
-LEAST_PASSED = 0.1
+# Part by which a level falls in a step for each call a slot too many, and the most.
+# Loads are half a second old: with larger steps a level falls far below what the
+# service can do before the first step shows, and callers are refused for nothing.
+FALL = 0.06
+MOST_FALL = 0.15
+# Part of the demand by which it rises in a step where there is room: from half of
+# the demand to all of it in three seconds.
+RISE = 0.04
+# Some always pass, or nothing would show that there is room.
+LEAST_LEVEL = 0.05
+# Demand by rank is counted over this span, in seconds.
+DEMAND_SECONDS = 5.0
+# A service that one request in so many reaches is no reason to refuse it.
+LEAST_VISITS = 0.05
 
 
 class Load:
@@ -40,10 +49,12 @@
 
 
 class Admission:
-    """Levels by service: how many ranks of requests pass, in whole and parts.
+    """A level for each overloaded service: the part of the demand for it that passes.
 
-    With ranks 0 (most urgent), 1 and 2 a level of 3 lets all pass, 2.4 lets 4 in 10
-    of rank 2 pass, 0.5 half of rank 0 and nothing else.
+    Demand is the calls at the service that requests lead to. Of a level of 0.7 the
+    most urgent ranks use what they need, and the rank in which 0.7 of the demand is
+    reached passes in part. So a level means the same however requests are spread
+    over ranks, of which most may be nearly empty.
 
     Args:
         rng: Draws which of a rank pass in part.
@@ -51,50 +62,72 @@
 
     def __init__(self, rng: random.Random):
         self._rng = rng
-        self._places: dict[int, int] = {}
+        self._demand: dict[str, dict[int, SlidingCount]] = {}
         self._levels: dict[str, float] = {}
+        self._passed: dict[str, dict[int, float]] = {}
 
     @property
     def levels(self) -> dict[str, float]:
-        """Levels that are not at their top, by service."""
+        """Levels below 1, by service."""
         return self._levels
 
-    def set_ranks(self, ranks: Iterable[int]) -> None:
-        """Take the ranks that requests may have; levels stay if they are the same."""
-        ordered = sorted(set(ranks))
-        places = {rank: place for place, rank in enumerate(ordered)}
-        if places != self._places:
-            self._places = places
-            self._levels = {}
+    def note_demand(self, visits: Mapping[str, float], rank: int, now: float) -> None:
+        """Count a request, admitted or not.
 
-    def update(self, loads: dict[str, Load]) -> None:
+        Args:
+            visits: Calls at each service that it leads to.
+            rank: Of the request, 0 the most urgent.
+            now: Seconds.
+        """
+        for service, calls in visits.items():
+            if calls < LEAST_VISITS:
+                continue
+            ranks = self._demand.setdefault(service, {})
+            count = ranks.get(rank)
+            if count is None:
+                count = ranks[rank] = SlidingCount(DEMAND_SECONDS)
+            count.add(now, calls)
+
+    def update(self, loads: Mapping[str, Load], now: float) -> None:
         """Set the levels anew, once a step."""
-        top = float(len(self._places))
         for service, load in loads.items():
-            level = self._levels.get(service, top)
+            level = self._levels.get(service, 1.0)
             if load.pressure > TOO_BUSY:
-                level -= FALL * (load.pressure - ROOM)
+                level *= 1.0 - min(MOST_FALL, FALL * (load.pressure - ROOM))
             elif load.pressure < ROOM:
                 level += RISE
-            level = max(LEAST_PASSED, level)
-            if level >= top:
+            if level >= 1.0:
                 self._levels.pop(service, None)
             else:
-                self._levels[service] = level
+                self._levels[service] = max(LEAST_LEVEL, level)
+        self._passed = {
+            service: self._share_out(service, level, now)
+            for service, level in self._levels.items()
+        }
 
-    def admits(self, services: Iterable[str], rank: int) -> bool:
+    def admits(self, visits: Mapping[str, float], rank: int) -> bool:
         """Whether a request that leads to these services may go in.
 
         Args:
-            services: All that it leads to.
+            visits: Calls at each service that it leads to.
             rank: Of the request.
         """
-        if not self._levels:
+        if not self._passed:
             return True
-        place = self._places.get(rank, len(self._places))
         passed = 1.0
-        for service in services:
-            level = self._levels.get(service)
-            if level is not None:
-                passed = min(passed, level - place)
+        for service, calls in visits.items():
+            ranks = self._passed.get(service)
+            if ranks is not None and calls >= LEAST_VISITS:
+                passed = min(passed, ranks.get(rank, 1.0))
         return passed >= 1.0 or self._rng.random() < passed
+
+    def _share_out(self, service: str, level: float, now: float) -> dict[int, float]:
+        """Return which part of each rank passes."""
+        ranks = self._demand.get(service, {})
+        demand = {rank: count.total(now) for rank, count in sorted(ranks.items())}
+        left = level * sum(demand.values())
+        passed: dict[int, float] = {}
+        for rank, calls in demand.items():
+            passed[rank] = min(1.0, left / calls) if calls else 1.0
+            left = max(0.0, left - calls)
+        return passed
--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -36,6 +36,7 @@
         "nested",
         "request_id",
         "route",
+        "sent",
         "service",
         "target",
     )
@@ -59,6 +60,7 @@
         self.nested = nested
         self.deadline = deadline
         self.target = target
+        self.sent = False
 
 
 class Outcome:
@@ -213,6 +215,7 @@
             call.head,
             call.body,
         )
+        call.sent = True
         if peer is not None:
             answer = await peer.call(message)
             return Outcome(
--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -159,14 +159,15 @@
         remaining = deadline - self._get_time()
         if remaining < LEAST_REMAINING_SECONDS:
             raise not_run(Reason.OVERLOADED, "no time is left")
-        if tenant is not None:
-            self._charge(tenant, remaining)
         service = self._policies.routes.choose_service(route)
         if nested:
             self._own_calls.note_call(service, self._get_time())
         else:
             self._admit(service, rank_request(route, tenant), remaining)
             self._budget.note_first(service, self._get_time())
+        if tenant is not None:
+            # Last of all checks: what is refused above costs no token.
+            self._charge(tenant, remaining)
         head = self._dialect.render_request(
             request, self._service, tenant.name if tenant is not None else ""
         )
@@ -185,8 +186,12 @@
                 return await self._dispatcher.dispatch(call)
         except TimeoutError as error:
             detail = "its time was up before an answer came"
+            if not call.sent:
+                raise not_run(Reason.DEADLINE_EXCEEDED, detail) from error
             raise may_have_run(Reason.DEADLINE_EXCEEDED, detail) from error
         except Refusal as refusal:
+            if refusal.verdict is Verdict.NOT_RUN and tenant is not None:
+                self._quotas.give_back(tenant, self._get_time())
             if refusal.verdict is Verdict.NOT_RUN and refusal.retry_after is None:
                 left = deadline - self._get_time()
                 refusal.retry_after = spread_retry(left, self._rng)
@@ -229,9 +234,10 @@
             retry = spread_retry(remaining, self._rng)
             raise not_run(Reason.RATE_EXCEEDED, detail, retry)
 
-    def _admit(self, service: str, priority: int, remaining: float) -> None:
-        services = self._graph.get_visits(service)
-        if not self._admission.admits(services, priority):
+    def _admit(self, service: str, rank: int, remaining: float) -> None:
+        visits = self._graph.get_visits(service)
+        self._admission.note_demand(visits, rank, self._get_time())
+        if not self._admission.admits(visits, rank):
             retry = spread_retry(remaining, self._rng)
             detail = "a service that it leads to is overloaded"
             raise not_run(Reason.OVERLOADED, detail, retry)
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -29,7 +29,6 @@
     NodeEntry,
     NodeState,
     Policy,
-    rank_request,
     StatusReport,
 )
 from .peer import Peer
@@ -50,7 +49,7 @@
 LAME_DUCK_SECONDS = 3.2
 IDLE_POLL_SECONDS = 0.05
 # Kept of the time that the platform gives, for the end of the process itself.
-STOP_MARGIN_SECONDS = 0.7
+STOP_MARGIN_SECONDS = 1.2
 # Levels change in steps; the log has them once a second while any is below its top.
 LEVELS_TOLD_SECONDS = 1.0
 # Ids of leaving backend servers that a node remembers for others.
@@ -541,7 +540,7 @@
                 own = loads.setdefault(self._settings.service, Load())
                 own.occupied += self._occupied_lately
                 own.slots += self.backend.slots
-            self.admission.update(loads)
+            self.admission.update(loads, asyncio.get_running_loop().time())
             self._tell_levels(loads)
             self._rebuild_graph()
 
@@ -574,10 +573,4 @@
         self.graph.rebuild(told)
 
     def _apply_policy(self, policy: Policy) -> None:
-        tenants = set((policy.tenants or {}).values()) or {None}
-        self.admission.set_ranks(
-            rank_request(route, tenant)
-            for route in policy.routes
-            for tenant in tenants
-            if policy.tenants is None or not route.public
-        )
+        """Nothing is kept from one version to the next that needs a change."""
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -21,6 +21,9 @@
 FORGET_SECONDS = 6.0
 # Weight of the newest rate that a node told, against those before.
 RATE_SMOOTHING = 0.5
+# Calls that a node may take back between two heartbeats; a number that is smaller by
+# more shows a restart.
+GIVEN_BACK = 50
 # A share's own bucket holds the tokens of so many seconds: short, as the fleet's
 # bucket is what smooths demand.
 SHARE_BURST_SECONDS = 0.5
@@ -40,8 +43,10 @@
 
     def update(self, demand: float, admitted: int, now: float) -> float:
         """Take in what it tells now; return calls that were not reckoned with."""
-        # A smaller number than before: the node was started again.
-        passed = admitted - self.admitted if admitted >= self.admitted else admitted
+        passed = admitted - self.admitted
+        if passed < -GIVEN_BACK:
+            # So much smaller than before: the node was started again.
+            passed = admitted
         span = now - self.heard_at
         if span > 0.05:
             self.rate += RATE_SMOOTHING * (passed / span - self.rate)
@@ -107,6 +112,12 @@
         self.admitted += 1
         return True
 
+    def give_back(self, tenant: Tenant) -> None:
+        """Take back one call that did not run after all."""
+        self.admitted = max(0, self.admitted - 1)
+        if self._fleet_tokens is not None and tenant.rate > 0:
+            self._fleet_tokens += 1.0
+
     def _refill(self, tenant: Tenant, nodes: int, now: float) -> None:
         span = now - self._refilled_at
         self._refilled_at = now
@@ -121,13 +132,15 @@
             usage.expected += expected
             used += expected
         gained = tenant.rate * span - used
-        # Below zero by a burst at the most: what shares let through while the
-        # fleet's bucket was empty is not held against them for long.
+        # Below zero by a burst at the most: a debt is paid back, not kept for ever.
         self._fleet_tokens += gained
         self._fleet_tokens = min(tenant.burst, max(-tenant.burst, self._fleet_tokens))
         share = self._get_share(nodes, now)
         most = max(1.0, tenant.rate * share * SHARE_BURST_SECONDS)
-        self._share_tokens += span * tenant.rate * share
+        # What was let through too much, before nodes knew of each other's calls, is
+        # paid back by all shares; else the window after it would be over the rate.
+        debt = min(1.0, max(0.0, -self._fleet_tokens / max(1.0, tenant.burst)))
+        self._share_tokens += span * tenant.rate * share * (1.0 - debt)
         self._share_tokens = min(most, self._share_tokens)
 
     def _get_share(self, nodes: int, now: float) -> float:
@@ -154,6 +167,10 @@
         """Whether one more call of a workspace may go; it is counted if so."""
         return self._get(tenant.name, now).take(tenant, nodes, now)
 
+    def give_back(self, tenant: Tenant, now: float) -> None:
+        """Take back one call that did not run after all."""
+        self._get(tenant.name, now).give_back(tenant)
+
     def note_remote(self, node: str, usage: dict[str, Usage], now: float) -> None:
         """Take in what another node told of all workspaces."""
         for name, told in usage.items():
--- /dev/null
+++ b/tests/test_admission_levels.py
@@ -0,0 +1,111 @@
+"""Loads of callers' requests over what a service deep in the graph can do."""
+
+import random
+
+from primroseglade.sidecar.admission import Admission, Load, STEP_SECONDS
+from primroseglade.sidecar.model import Tenant, Usage
+from primroseglade.sidecar.quota import Quotas
+
+URGENT, USUAL, LEAST = 10, 11, 12
+# Steps of the plant below that a load lags behind what was admitted: heartbeats are
+# half a second apart.
+LAG_STEPS = 2
+
+
+class Deep:
+    """A service that works on so many calls a step; the rest waits or is dropped."""
+
+    def __init__(self, capacity: float, slots: float):
+        self.capacity = capacity
+        self.slots = slots
+        self.waiting = 0.0
+        self.told = [0.0] * LAG_STEPS
+
+    def step(self, calls: float) -> Load:
+        """Take in a step's calls and return the load as others hear of it."""
+        busy = min(1.0, (calls + self.waiting) / self.capacity)
+        self.waiting = max(0.0, self.waiting + calls - self.capacity)
+        self.waiting = min(self.waiting, 3 * self.slots)
+        self.told.append(self.slots * busy + self.waiting)
+        return Load(self.told.pop(0), self.slots)
+
+
+def play(demand: dict[int, int], capacity: float, steps: int) -> dict[int, float]:
+    """Return which part of each rank was admitted in the second half of a load."""
+    admission = Admission(random.Random(1))
+    deep = Deep(capacity, 20)
+    admitted = dict.fromkeys(demand, 0)
+    asked = dict.fromkeys(demand, 0)
+    visits = {"front": 1.0, "deep": 4.0}
+    for step in range(steps):
+        now = step * STEP_SECONDS
+        calls = 0.0
+        for rank, count in demand.items():
+            for _ in range(count):
+                admission.note_demand(visits, rank, now)
+                passed = admission.admits(visits, rank)
+                calls += 4.0 * passed
+                if step > steps // 2:
+                    asked[rank] += 1
+                    admitted[rank] += passed
+        admission.update({"deep": deep.step(calls)}, now)
+    return {rank: admitted[rank] / asked[rank] for rank in demand}
+
+
+def test_nothing_is_refused_while_there_is_room():
+    """Demand of 0.8 of what the service can do passes whole."""
+    passed = play({URGENT: 20, USUAL: 20, LEAST: 40}, 400.0, 80)
+    assert passed == {URGENT: 1.0, USUAL: 1.0, LEAST: 1.0}
+
+
+def test_the_least_urgent_are_refused_first():
+    """Demand of 1.6 of the capacity: the urgent half passes whole."""
+    passed = play({URGENT: 20, USUAL: 20, LEAST: 40}, 200.0, 160)
+    assert passed[URGENT] > 0.98
+    assert passed[USUAL] > 0.75
+    assert passed[LEAST] < 0.5
+
+
+def test_what_a_service_can_do_is_used():
+    """Requests were refused for ten seconds after a burst although the service was
+    half idle: levels fell by ranks, most of them empty, far below the demand that it
+    could serve, and rose as slowly. The load lags, so that some falls too far; on
+    average at least three quarters of the capacity is used.
+    """
+    demand = {0: 1, 1: 1, 2: 1, URGENT: 20, USUAL: 20, LEAST: 40}
+    passed = play(demand, 200.0, 160)
+    calls = sum(4.0 * count * passed[rank] for rank, count in demand.items())
+    assert 0.75 * 200.0 < calls < 1.15 * 200.0
+
+
+def test_a_call_that_did_not_run_costs_no_token():
+    """Workspaces were refused as over their rate at half of it: each call that an
+    overloaded service had refused was counted against them.
+    """
+    quotas = Quotas(first_start=True)
+    tenant = Tenant("north", 1, 10.0, 10.0)
+    for number in range(100):
+        now = number * 0.01
+        assert quotas.take(tenant, 1, now)
+        quotas.give_back(tenant, now)
+
+
+def test_the_rate_holds_over_nodes_that_hear_of_each_other():
+    """Three nodes with five times the rate between them let through the rate."""
+    nodes = [Quotas(first_start=True) for _ in range(3)]
+    tenant = Tenant("north", 1, 100.0, 100.0)
+    admitted = 0
+    for tick in range(1000):
+        now = tick * 0.01
+        if tick % 50 == 0:
+            for number, node in enumerate(nodes):
+                told: dict[str, Usage] = node.describe(now)
+                for other in nodes:
+                    if other is not node:
+                        other.note_remote(str(number), told, now)
+        for node in nodes:
+            for _ in range(2 if tick % 3 else 1):
+                admitted += node.take(tenant, 3, now)
+    # Ten seconds of the rate and the burst, and the slack that users allow.
+    assert admitted <= (100.0 * 10 + 100) * 1.1 + 20
+    assert admitted >= 100.0 * 10 * 0.95
