Gather what keeps leaving backend servers in one module; split the node's settings and store

While moved, a fault was seen by reading: a late copy of a draining report was acknowledged although the first had not been kept anywhere yet. Change: leaves.py, node_settings.py, node_store.py; each draining report is acknowledged only when kept.

--- a/primroseglade/platform/settings.py
+++ b/primroseglade/platform/settings.py
@@ -4,7 +4,7 @@
 import pathlib
 
 from ..errors import InputError
-from ..sidecar.node import NodeSettings
+from ..sidecar.node_settings import NodeSettings
 from .values import Fields
 
 
--- /dev/null
+++ b/primroseglade/sidecar/leaves.py
@@ -0,0 +1,143 @@
+"""Backend servers that leave: what was acknowledged outlives this process."""
+
+import asyncio
+import random
+
+from ..observe.events import Journal, STORE_WRITE_FAILED
+from ..supervisor import Supervisor
+from .backend import Backend
+from .fleet import Fleet
+from .model import BackendState, StatusReport
+from .node_store import NodeStore
+from .policy_keeper import StoreError
+
+# A backend server waits one second for the acknowledgement of its report.
+ACKNOWLEDGE_SECONDS = 0.8
+# Other nodes that are asked to remember a leaving backend server, so that one
+# remains where another fails.
+WITNESSES = 2
+POLL_SECONDS = 0.005
+STORE_RETRY_SECONDS = 0.5
+STORE_TIMEOUT_SECONDS = 1.5
+# Ids of leaving backend servers that a node remembers for others.
+MOST_REMEMBERED = 512
+
+
+class Leaves:
+    """Takes reports of the backend server, and keeps that it leaves.
+
+    An acknowledged leave binds: no request may reach the backend server some seconds
+    later. A node that was killed right after the acknowledgement, and started again,
+    would not know. So a leave is acknowledged once the store or another node has it.
+
+    Args:
+        backend: The own backend server.
+        fleet: Nodes that may remember for this one.
+        store: The platform's.
+        supervisor: Runs writes that outlast a report.
+        journal: Where failures are told.
+        rng: Picks the nodes that remember.
+        first_start: Whether the whole fleet starts for the first time.
+    """
+
+    def __init__(
+        self,
+        backend: Backend,
+        fleet: Fleet,
+        store: NodeStore,
+        supervisor: Supervisor,
+        journal: Journal,
+        rng: random.Random,
+        first_start: bool,
+    ):
+        self._backend = backend
+        self._fleet = fleet
+        self._store = store
+        self._supervisor = supervisor
+        self._journal = journal
+        self._rng = rng
+        self._known = first_start
+        self._kept: set[str] = set()
+        self._remembered: dict[str, int] = {}
+
+    @property
+    def remembered(self) -> dict[str, int]:
+        """Backend servers beside other nodes that leave, kept for those."""
+        return self._remembered
+
+    def remember(self, instance: str, born: int) -> None:
+        """Remember that a backend server beside another node leaves."""
+        while len(self._remembered) >= MOST_REMEMBERED:
+            self._remembered.pop(next(iter(self._remembered)))
+        self._remembered[instance] = born
+
+    def learn(self, drains: dict[str, int]) -> None:
+        """Take in which backend servers leave, as a peer remembers."""
+        self._known = True
+        for instance, born in drains.items():
+            self._backend.leave(instance, born)
+
+    async def take_report(self, report: StatusReport) -> bool:
+        """Take in a status report; return whether to acknowledge it."""
+        was = self._backend.instance
+        if not was and not self._known:
+            await self._ask_store()
+        if not self._backend.is_stale(report) and not self._backend.accept(report):
+            return False
+        if self._backend.instance != was:
+            self._fleet.push_state()
+        if report.state is BackendState.DRAINING:
+            return await self._keep(report.instance, report.born)
+        return True
+
+    async def take_leave(self, instance: str, born: int) -> bool:
+        """Take in that a backend server leaves; return whether to acknowledge it."""
+        was = self._backend.instance
+        self._backend.leave(instance, born)
+        if was and not self._backend.instance:
+            self._fleet.push_state()
+        return await self._keep(instance, born or self._backend.born)
+
+    async def _ask_store(self) -> None:
+        try:
+            drains = await self._store.list_drains(ACKNOWLEDGE_SECONDS)
+        except StoreError as error:
+            # Peers tell what they remember as streams to them open; whoever has an
+            # acknowledged leave is the store or one of them.
+            self._journal.emit(STORE_WRITE_FAILED, what="drains", error=str(error))
+            return
+        self.learn(drains)
+
+    async def _keep(self, instance: str, born: int) -> bool:
+        """Have a leave kept, and return whether it is."""
+        if instance in self._kept:
+            return True
+        self._supervisor.start_once(
+            f"drain of {instance}", lambda: self._write(instance, born)
+        )
+        peers = self._fleet.list_connected()
+        self._rng.shuffle(peers)
+        witnesses = [
+            asyncio.create_task(peer.note_drain(instance, born, ACKNOWLEDGE_SECONDS))
+            for peer in peers[:WITNESSES]
+        ]
+        try:
+            async with asyncio.timeout(ACKNOWLEDGE_SECONDS):
+                while instance not in self._kept:
+                    await asyncio.sleep(POLL_SECONDS)
+        except TimeoutError:
+            # The store may come back; the write goes on meanwhile.
+            pass
+        results = await asyncio.gather(*witnesses, return_exceptions=True)
+        seen = any(not isinstance(result, BaseException) for result in results)
+        return seen or instance in self._kept
+
+    async def _write(self, instance: str, born: int) -> None:
+        while True:
+            try:
+                await self._store.write_drain(instance, born, STORE_TIMEOUT_SECONDS)
+                self._kept.add(instance)
+                return
+            except StoreError as error:
+                self._journal.emit(STORE_WRITE_FAILED, what="drain", error=str(error))
+            await asyncio.sleep(STORE_RETRY_SECONDS)
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -23,25 +23,21 @@
 from .fleet import Fleet
 from .frames import PolicyAnswer
 from .http_server import Handler, HttpServer
+from .leaves import Leaves
 from .meter import build_metrics, Meter
 from .model import (
-    BackendState,
     NodeEntry,
     NodeState,
     Policy,
-    StatusReport,
 )
+from .node_settings import NodeSettings
+from .node_store import NodeStore
 from .peer import Peer
 from .peer_server import PeerServer
-from .policy_keeper import PolicyKeeper, PolicyStore, StoreError
+from .policy_keeper import PolicyKeeper, StoreError
 from .quota import Quotas
 from .retry_budget import RetryBudget
 
-# A backend server waits one second for the acknowledgement of its report.
-ACKNOWLEDGE_SECONDS = 0.8
-# Other nodes that must remember a leaving backend server where the store cannot.
-DRAIN_WITNESSES = 2
-DRAIN_POLL_SECONDS = 0.005
 STORE_RETRY_SECONDS = 0.5
 STORE_TIMEOUT_SECONDS = 1.5
 # Callers are told of a stop by two readiness checks, a second apart; some more come
@@ -52,105 +48,6 @@
 STOP_MARGIN_SECONDS = 1.2
 # Levels change in steps; the log has them once a second while any is below its top.
 LEVELS_TOLD_SECONDS = 1.0
-# Ids of leaving backend servers that a node remembers for others.
-DRAINS_REMEMBERED = 512
-
-
-class NodeSettings:
-    """What a node is told at its start.
-
-    Args:
-        name: Of the node.
-        zone: Availability zone.
-        service: What the backend server beside it serves.
-        backend: Address of the backend server.
-        host: Own IP number.
-        outbound: Address for callers and the backend server.
-        ready: Address for readiness checks.
-        control: Address for the backend server's reports.
-        peers: Address for other nodes.
-        metrics: Address for metrics.
-        first_start: Whether the whole fleet starts for the first time.
-        grace: Seconds from SIGTERM to SIGKILL.
-        revoke: Seconds within which a withdrawn key must stop working.
-        retry_ratio: Repeats for each first attempt, over the fleet.
-        retry_fixed: Repeats in a window besides, over the fleet.
-        retry_window: Seconds.
-    """
-
-    __slots__ = (
-        "backend",
-        "control",
-        "first_start",
-        "grace",
-        "host",
-        "metrics",
-        "name",
-        "outbound",
-        "peers",
-        "ready",
-        "retry_fixed",
-        "retry_ratio",
-        "retry_window",
-        "revoke",
-        "service",
-        "zone",
-    )
-
-    def __init__(
-        self,
-        name: str,
-        zone: str,
-        service: str,
-        backend: str,
-        host: str,
-        outbound: str,
-        ready: str,
-        control: str,
-        peers: str,
-        metrics: str,
-        first_start: bool,
-        grace: float,
-        revoke: float,
-        retry_ratio: float,
-        retry_fixed: float,
-        retry_window: float,
-    ):
-        self.name = name
-        self.zone = zone
-        self.service = service
-        self.backend = backend
-        self.host = host
-        self.outbound = outbound
-        self.ready = ready
-        self.control = control
-        self.peers = peers
-        self.metrics = metrics
-        self.first_start = first_start
-        self.grace = grace
-        self.revoke = revoke
-        self.retry_ratio = retry_ratio
-        self.retry_fixed = retry_fixed
-        self.retry_window = retry_window
-
-
-class NodeStore(PolicyStore, Protocol):
-    """What a node keeps in the platform's store."""
-
-    async def list_nodes(self, timeout: float) -> list[NodeEntry]:
-        """Return the nodes that made themselves known."""
-
-    async def write_node(self, entry: NodeEntry, timeout: float) -> None:
-        """Make a node known."""
-
-    async def write_drain(self, instance: str, born: int, timeout: float) -> None:
-        """Keep that a backend server leaves."""
-
-    async def list_drains(self, timeout: float) -> dict[str, int]:
-        """Return the backend servers that leave, with the start of their lifetime."""
-
-    async def close(self) -> None:
-        """Close the connections."""
 
 
 class NodeDialect(CallerDialect, BackendDialect, Protocol):
@@ -204,6 +101,15 @@
         )
         self.backend = Backend(settings.service, settings.backend, dialect, journal)
         self.fleet = Fleet(self, self._supervisor, journal, self._rng)
+        self.leaves = Leaves(
+            self.backend,
+            self.fleet,
+            store,
+            self._supervisor,
+            journal,
+            self._rng,
+            settings.first_start,
+        )
         self.quotas = Quotas(settings.first_start)
         self.admission = Admission(self._rng)
         self.graph = CallGraph()
@@ -253,7 +159,7 @@
     @property
     def drains(self) -> dict[str, int]:
         """Backend servers beside other nodes that leave, kept for those."""
-        return self._drains
+        return self.leaves.remembered
 
     @property
     def occupied(self) -> int:
@@ -330,9 +236,7 @@
 
     def note_drain(self, instance: str, born: int) -> None:
         """Remember that a backend server beside another node leaves."""
-        while len(self._drains) >= DRAINS_REMEMBERED:
-            self._drains.pop(next(iter(self._drains)))
-        self._drains[instance] = born
+        self.leaves.remember(instance, born)
 
     def take_pushed(self, name: str, state: NodeState) -> None:
         """Take in a state that a node told without being asked."""
@@ -369,49 +273,12 @@
 
     def learn_drains(self, drains: dict[str, int]) -> None:
         """Take in which backend servers leave, as a peer remembers."""
-        self._drains_known = True
-        for instance, born in drains.items():
-            self.backend.leave(instance, born)
+        self.leaves.learn(drains)
 
     def greet(self, entry: NodeEntry) -> None:
         """Take in a node that introduces itself."""
         self.fleet.learn(entry)
 
-    async def take_report(self, report: StatusReport) -> bool:
-        """Take in a status report; return whether to acknowledge it.
-
-        A report that a backend server drains is acknowledged only once that will be
-        known after this process has ended without notice as well.
-        """
-        if report.state is BackendState.DRAINING:
-            return await self.take_leave(report.instance, report.born, report)
-        was = self.backend.instance
-        if self.backend.is_stale(report):
-            return True
-        if not was and not self._drains_known and not self._settings.first_start:
-            await self._learn_drains()
-        if not self.backend.accept(report):
-            return False
-        if self.backend.instance != was:
-            self.fleet.push_state()
-        return True
-
-    async def take_leave(
-        self, instance: str, born: int, report: StatusReport | None = None
-    ) -> bool:
-        """Take in that a backend server leaves; return whether to acknowledge it."""
-        was = self.backend.instance
-        if report is not None:
-            if self.backend.is_stale(report):
-                return True
-            if not self.backend.accept(report):
-                return False
-        self.backend.leave(instance, born)
-        born = born or self.backend.born
-        if was and not self.backend.instance:
-            self.fleet.push_state()
-        return await self._keep_drain(instance, born)
-
     def _start(self) -> None:
         self._occupied_lately = 0.0
         parts: tuple[tuple[str, Callable[[], Awaitable[None]]], ...] = (
@@ -486,52 +353,6 @@
                 self._journal.emit(STORE_WRITE_FAILED, what="node", error=str(error))
             await asyncio.sleep(self._rng.uniform(0.5, 1.0) * STORE_RETRY_SECONDS)
 
-    async def _learn_drains(self) -> None:
-        try:
-            drains = await self._store.list_drains(ACKNOWLEDGE_SECONDS)
-        except StoreError as error:
-            # Peers that keep some of them tell with their greeting; until one of
-            # the two is heard, the backend server is not used.
-            self._journal.emit(STORE_WRITE_FAILED, what="drains", error=str(error))
-            return
-        self._drains_known = True
-        for instance, born in drains.items():
-            self.backend.leave(instance, born)
-
-    async def _keep_drain(self, instance: str, born: int) -> bool:
-        """Have it kept that a backend server leaves, by the store or by other nodes."""
-        if instance in self._drains_kept:
-            return True
-        self._supervisor.start_once(
-            f"drain of {instance}", lambda: self._write_drain(instance, born)
-        )
-        peers = self.fleet.list_connected()
-        self._rng.shuffle(peers)
-        witnesses = [
-            asyncio.create_task(peer.note_drain(instance, born, ACKNOWLEDGE_SECONDS))
-            for peer in peers[:DRAIN_WITNESSES]
-        ]
-        try:
-            async with asyncio.timeout(ACKNOWLEDGE_SECONDS):
-                while instance not in self._drains_kept:
-                    await asyncio.sleep(DRAIN_POLL_SECONDS)
-                return True
-        except TimeoutError:
-            # The store may come back; the write goes on meanwhile.
-            pass
-        results = await asyncio.gather(*witnesses, return_exceptions=True)
-        return any(not isinstance(result, BaseException) for result in results)
-
-    async def _write_drain(self, instance: str, born: int) -> None:
-        while True:
-            try:
-                await self._store.write_drain(instance, born, STORE_TIMEOUT_SECONDS)
-                self._drains_kept.add(instance)
-                return
-            except StoreError as error:
-                self._journal.emit(STORE_WRITE_FAILED, what="drain", error=str(error))
-            await asyncio.sleep(STORE_RETRY_SECONDS)
-
     async def _set_levels(self) -> None:
         while True:
             await asyncio.sleep(STEP_SECONDS)
--- /dev/null
+++ b/primroseglade/sidecar/node_settings.py
@@ -0,0 +1,79 @@
+"""What a node is told at its start."""
+
+
+class NodeSettings:
+    """What a node is told at its start.
+
+    Args:
+        name: Of the node.
+        zone: Availability zone.
+        service: What the backend server beside it serves.
+        backend: Address of the backend server.
+        host: Own IP number.
+        outbound: Address for callers and the backend server.
+        ready: Address for readiness checks.
+        control: Address for the backend server's reports.
+        peers: Address for other nodes.
+        metrics: Address for metrics.
+        first_start: Whether the whole fleet starts for the first time.
+        grace: Seconds from SIGTERM to SIGKILL.
+        revoke: Seconds within which a withdrawn key must stop working.
+        retry_ratio: Repeats for each first attempt, over the fleet.
+        retry_fixed: Repeats in a window besides, over the fleet.
+        retry_window: Seconds.
+    """
+
+    __slots__ = (
+        "backend",
+        "control",
+        "first_start",
+        "grace",
+        "host",
+        "metrics",
+        "name",
+        "outbound",
+        "peers",
+        "ready",
+        "retry_fixed",
+        "retry_ratio",
+        "retry_window",
+        "revoke",
+        "service",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        service: str,
+        backend: str,
+        host: str,
+        outbound: str,
+        ready: str,
+        control: str,
+        peers: str,
+        metrics: str,
+        first_start: bool,
+        grace: float,
+        revoke: float,
+        retry_ratio: float,
+        retry_fixed: float,
+        retry_window: float,
+    ):
+        self.name = name
+        self.zone = zone
+        self.service = service
+        self.backend = backend
+        self.host = host
+        self.outbound = outbound
+        self.ready = ready
+        self.control = control
+        self.peers = peers
+        self.metrics = metrics
+        self.first_start = first_start
+        self.grace = grace
+        self.revoke = revoke
+        self.retry_ratio = retry_ratio
+        self.retry_fixed = retry_fixed
+        self.retry_window = retry_window
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -12,7 +12,8 @@
 from primroseglade.platform.reports import build_control, build_ready
 from primroseglade.platform.store import StoreClient
 from primroseglade.sidecar.http_client import Answer, ConnectionPool
-from primroseglade.sidecar.node import NodeSettings, SidecarNode
+from primroseglade.sidecar.node import SidecarNode
+from primroseglade.sidecar.node_settings import NodeSettings
 from primroseglade.stand_ins.mesh_backend import MeshBackend
 from primroseglade.stand_ins.store import StoreStandIn
 
