--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -116,10 +116,14 @@
         wait = (ahead + 1) * self._service_seconds / self._limit
         if wait + self._service_seconds > remaining:
             raise not_run(Reason.OVERLOADED, f"{ahead} calls go before it")
-        turn = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        turn = loop.create_future()
         entry = (late_at, next(self._numbers), now + remaining, turn)
         heapq.heappush(self._waiting, entry)
         self._live += 1
+        # Ahead of the caller's own timeout, which would not know whether it ran.
+        latest = now + remaining - self._service_seconds / 2
+        timer = loop.call_at(latest, self._expire, turn)
         try:
             await turn
         except asyncio.CancelledError:
@@ -130,6 +134,8 @@
                 turn.cancel()
                 self._live -= 1
             raise
+        finally:
+            timer.cancel()
 
     def release(self, seconds: float | None) -> None:
         """Give a turn back.
@@ -145,6 +151,12 @@
         self._running -= 1
         self._let_go()
 
+    def _expire(self, turn: "asyncio.Future[None]") -> None:
+        if not turn.done():
+            self._live -= 1
+            error = not_run(Reason.OVERLOADED, "its time passed in the queue")
+            turn.set_exception(error)
+
     def _count_ahead(self, late_at: float) -> int:
         if self._live < 16:
             return sum(entry[0] <= late_at for entry in self._waiting)
