Hand a backend server's failure on where nobody else takes the call

Cause: found by reading: after a first attempt that a backend server failed, a second one that no node took was told as not run, which was false. Change: what became of all attempts is kept in one place, and decides; the long loop of the dispatcher is cut into steps. State that nothing read goes.

--- a/primroseglade/platform/operator_config.py
+++ b/primroseglade/platform/operator_config.py
@@ -10,7 +10,6 @@
     Policy,
     Route,
     RouteKind,
-    ServiceLimits,
     Tenant,
     WeightedService,
 )
@@ -31,24 +30,14 @@
     except ValueError as error:
         raise InputError(SOURCE, "", f"is not JSON: {error}") from error
     fields = Fields(value, SOURCE)
-    services = [
-        _decode_service(Fields(item, SOURCE)) for item in fields.get_list("services")
-    ]
     return Policy(
         fields.get_whole("version"),
         _decode_routes(fields),
-        {service.name: service for service in services},
         _decode_tenants(fields) if fields.has("tenants") else None,
         _decode_limits(fields),
     )
 
 
-def _decode_service(fields: Fields) -> ServiceLimits:
-    return ServiceLimits(
-        fields.get_text("name"), fields.get_whole("max_connections", 1024)
-    )
-
-
 def _decode_limits(fields: Fields) -> CallerLimits:
     limits = CallerLimits()
     if not fields.has("limits"):
--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -23,6 +23,8 @@
 # request makes several of them, and one that fails again ends it all the same. The
 # budget of repeats is left to callers' own requests.
 MOST_FAILING = 0.2
+# Statuses from here on are failures of the backend server, HTTP's server errors.
+FIRST_FAILURE = 500
 # A call that a backend server makes is worth waiting for: to refuse it throws away
 # the work above it. So long it waits before it looks again who serves it, in seconds,
 # and twice as long each time.
@@ -82,6 +84,69 @@
         self.attempts = 1
 
 
+class Attempts:
+    """What became of a call so far.
+
+    Attributes:
+        tried: Names of the nodes that were asked.
+        arrivals: Backend servers that the call reached.
+        last_arrived: Whether the last attempt reached one.
+        reason: Why the last attempt was not the end.
+        verdict: Whether the call may have run, over all attempts.
+    """
+
+    __slots__ = (
+        "_failure",
+        "_refusal",
+        "arrivals",
+        "last_arrived",
+        "reason",
+        "tried",
+        "verdict",
+    )
+
+    def __init__(self) -> None:
+        self._failure: Outcome | None = None
+        self._refusal: Refusal | None = None
+        self.tried: set[str] = set()
+        self.arrivals = 0
+        self.last_arrived = False
+        self.reason = ""
+        self.verdict = Verdict.NOT_RUN
+
+    def note_failure(self, outcome: Outcome) -> None:
+        """Note that a backend server answered with a failure of its own."""
+        self._failure = outcome
+        self.verdict = Verdict.RAN
+        self.reason = f"status {outcome.status}"
+        self.arrivals += 1
+        self.last_arrived = True
+
+    def note_refusal(self, refusal: Refusal) -> None:
+        """Note that there was no answer."""
+        self._refusal = refusal
+        self.reason = refusal.reason.code
+        may_have_run = refusal.verdict is not Verdict.NOT_RUN
+        if may_have_run and self.verdict is Verdict.NOT_RUN:
+            self.verdict = refusal.verdict
+        self.last_arrived = may_have_run or isinstance(refusal, BackendRefusal)
+        self.arrivals += self.last_arrived
+
+    def conclude(self, otherwise: Refusal | None = None) -> Outcome:
+        """Return the answer that there is, if only a failure.
+
+        Raises:
+            Refusal: There is none; with the verdict that holds for all attempts, as
+                the last one alone may not have run where an earlier one has.
+        """
+        if self._failure is not None:
+            return self._failure
+        refusal = self._refusal or otherwise
+        assert refusal is not None
+        refusal.verdict = self.verdict
+        raise refusal
+
+
 class Dispatcher:
     """Sends calls to nodes beside backend servers.
 
@@ -122,58 +187,71 @@
         Raises:
             Refusal: The last one, with a verdict that holds for all attempts.
         """
-        tried: set[str] = set()
-        arrivals = 0
-        asked = 0
+        attempts = Attempts()
+        while True:
+            candidate = await self._find_candidate(call, attempts)
+            if candidate is None:
+                detail = f"no backend server of {call.service} takes calls"
+                return attempts.conclude(
+                    Refusal(Reason.NO_BACKEND_SERVER, detail=detail)
+                )
+            outcome = await self._attempt(call, candidate, attempts)
+            if outcome is not None:
+                return outcome
+            if not self._may_go_on(call, attempts):
+                return attempts.conclude()
+            if attempts.last_arrived:
+                self._tell_repeat(call, candidate, attempts)
+
+    async def _find_candidate(
+        self, call: OutgoingCall, attempts: "Attempts"
+    ) -> Candidate | None:
+        """Return where to send the call next; a nested one waits for a place."""
         pause = NESTED_PAUSE_SECONDS
-        verdict = Verdict.NOT_RUN
         waited_until = time.monotonic() + NESTED_PATIENCE_SECONDS
         while True:
-            candidate = self._choose(call, tried)
-            if candidate is None:
-                if not call.nested or time.monotonic() > waited_until or tried:
-                    detail = f"no backend server of {call.service} takes calls"
-                    raise Refusal(Reason.NO_BACKEND_SERVER, verdict, detail)
-                await asyncio.sleep(pause)
-                pause *= 2
-                continue
-            tried.add(candidate.name)
-            asked += 1
-            failed: Outcome | None = None
-            try:
-                outcome = await self._send(call, candidate)
-                if outcome.status < 500 or not call.route.idempotent:
-                    return outcome
-                failed = outcome
-                reason = f"status {outcome.status}"
-                arrivals += 1
-            except Refusal as refusal:
-                reason = refusal.reason.code
-                arrived = refusal.verdict is not Verdict.NOT_RUN
-                if arrived:
-                    verdict = refusal.verdict
-                    if not call.route.idempotent:
-                        raise
-                arrived_now = arrived or isinstance(refusal, BackendRefusal)
-                if arrived_now:
-                    arrivals += 1
-                elif asked < NODES_ASKED:
-                    continue
-                refusal.verdict = verdict
-                if not arrived_now or not self._may_repeat(call, arrivals):
-                    raise
-            else:
-                if not self._may_repeat(call, arrivals):
-                    return failed
-            self._meter.note_repeat(reason)
-            self._journal.emit(
-                CALL_REPEATED,
-                request=call.request_id.decode("latin-1"),
-                service=call.service,
-                node=candidate.name,
-                reason=reason,
-                arrivals=arrivals,
-            )
+            candidate = self._choose(call, attempts.tried)
+            if candidate is not None or not call.nested or attempts.tried:
+                return candidate
+            if time.monotonic() > waited_until:
+                return None
+            await asyncio.sleep(pause)
+            pause *= 2
+
+    async def _attempt(
+        self, call: OutgoingCall, candidate: Candidate, attempts: "Attempts"
+    ) -> Outcome | None:
+        """Send the call once and return its answer, None if another may be better."""
+        attempts.tried.add(candidate.name)
+        try:
+            outcome = await self._send(call, candidate)
+        except Refusal as refusal:
+            attempts.note_refusal(refusal)
+            return None
+        if outcome.status < FIRST_FAILURE or not call.route.idempotent:
+            return outcome
+        attempts.note_failure(outcome)
+        return None
+
+    def _may_go_on(self, call: OutgoingCall, attempts: "Attempts") -> bool:
+        if not attempts.last_arrived:
+            return len(attempts.tried) < NODES_ASKED
+        if attempts.verdict is not Verdict.NOT_RUN and not call.route.idempotent:
+            return False
+        return self._may_repeat(call, attempts.arrivals)
+
+    def _tell_repeat(
+        self, call: OutgoingCall, candidate: Candidate, attempts: "Attempts"
+    ) -> None:
+        self._meter.note_repeat(attempts.reason)
+        self._journal.emit(
+            CALL_REPEATED,
+            request=call.request_id.decode("latin-1"),
+            service=call.service,
+            node=candidate.name,
+            reason=attempts.reason,
+            arrivals=attempts.arrivals,
+        )
 
     def _may_repeat(self, call: OutgoingCall, arrivals: int) -> bool:
         if arrivals >= call.route.max_attempts:
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -115,16 +115,6 @@
     return first * (LOWEST_PRIORITY + 1) + min(route.priority, LOWEST_PRIORITY)
 
 
-class ServiceLimits:
-    """What the operator says of a service."""
-
-    __slots__ = ("max_connections", "name")
-
-    def __init__(self, name: str, max_connections: int):
-        self.name = name
-        self.max_connections = max_connections
-
-
 class CallerLimits:
     """Bounds on what a caller may send; times in seconds."""
 
@@ -149,24 +139,21 @@
     Args:
         version: Grows with each version.
         routes: All routes.
-        services: By name.
         tenants: Of each key; None where calls need no keys at all.
         limits: On callers.
     """
 
-    __slots__ = ("limits", "routes", "services", "tenants", "version")
+    __slots__ = ("limits", "routes", "tenants", "version")
 
     def __init__(
         self,
         version: int,
         routes: list[Route],
-        services: dict[str, ServiceLimits],
         tenants: dict[bytes, Tenant] | None,
         limits: CallerLimits,
     ):
         self.version = version
         self.routes = routes
-        self.services = services
         self.tenants = tenants
         self.limits = limits
 
@@ -259,7 +246,6 @@
         policy_age_ms: Milliseconds for which a newer one may exist unseen.
         calls_below: Calls to other services for each run, by service.
         usage: By workspace.
-        drained: Ids of backend servers whose leaving was acknowledged for a peer.
     """
 
     instance: str = ""
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -28,7 +28,6 @@
 from .model import (
     NodeEntry,
     NodeState,
-    Policy,
 )
 from .node_settings import NodeSettings
 from .node_store import NodeStore
@@ -98,9 +97,7 @@
             int(time.time() * 1000),
         )
         self._supervisor = Supervisor("node", journal)
-        self.policies = PolicyKeeper(
-            store, settings.revoke, journal, self._apply_policy
-        )
+        self.policies = PolicyKeeper(store, settings.revoke, journal)
         self.backend = Backend(settings.service, settings.backend, dialect, journal)
         self.fleet = Fleet(self, self._supervisor, journal, self._rng)
         self.leaves = Leaves(
@@ -394,6 +391,3 @@
         if own:
             told.append((self._settings.service, own))
         self.graph.rebuild(told)
-
-    def _apply_policy(self, policy: Policy) -> None:
-        """Nothing is kept from one version to the next that needs a change."""
--- a/primroseglade/sidecar/policy_keeper.py
+++ b/primroseglade/sidecar/policy_keeper.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 from typing import Protocol
 
 from ..errors import InputError
@@ -82,7 +81,6 @@
         store: Where operators publish.
         revoke_seconds: Within which a withdrawn key must stop working.
         journal: Where changes are told.
-        watch: Called when another version is in force.
     """
 
     def __init__(
@@ -90,12 +88,10 @@
         store: PolicyStore,
         revoke_seconds: float,
         journal: Journal,
-        watch: Callable[[Policy], None],
     ):
         self._store = store
         self._oldest = revoke_seconds * USED_AGE
         self._journal = journal
-        self._watch = watch
         self._freshness = Freshness()
         self._policy: Policy | None = None
         self._record = b""
@@ -252,7 +248,6 @@
             routes=len(policy.routes),
             keys=len(policy.tenants or ()),
         )
-        self._watch(policy)
 
     def _note_store(self, lost: bool, error: str = "") -> None:
         if lost != self._lost:
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -200,6 +200,26 @@
     assert 0 < float(get_header(answer, "retry-after")) < 2.0 / 3
 
 
+async def test_a_failure_is_handed_on_where_nobody_else_takes_the_call(mesh: Mesh):
+    """A caller was told that its request had not run, though it had: one backend
+    server had failed it, the other was leaving and refused the second attempt, and
+    the answer spoke of the second attempt only.
+    """
+    failing, leaving = mesh.places[1:]
+
+    def fail(request: Request, headers: dict[str, str]) -> Reply:
+        request_id = headers["x-primroseglade-request-id"].encode()
+        head = render_status_line(500) + b"X-Primroseglade-Request-Id: %b\r\n"
+        seal = b"X-Primroseglade-Upstream-Seal: s\r\n"
+        return Reply(head % request_id + seal, b"it failed")
+
+    failing.backend.answer = fail
+    leaving.node.backend.stop()
+    for number in range(10):
+        answer = await ask(mesh.places[0], "/deep/a", f"f{number}")
+        assert (answer.status, answer.body) == (500, b"it failed")
+
+
 async def test_a_body_goes_through_whole(mesh: Mesh):
     """A large body reaches the backend server as it was sent."""
     received: list[bytes] = []
