--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -130,7 +130,7 @@
             )
             refusal = may_have_run(Reason.ANSWER_BROKEN, "the node failed")
             return self._refuse(request, fields, route.name, refusal)
-        seconds = self._get_time() - request.arrived
+        seconds = time.monotonic() - request.arrived
         failed = outcome.status >= 500
         text = f"status-{outcome.status}" if failed else "served"
         self._meter.note_end(route.name, text, seconds)
@@ -144,9 +144,6 @@
             )
         return Reply(outcome.head, outcome.body)
 
-    def _get_time(self) -> float:
-        return time.monotonic()
-
     async def _answer(
         self, request: Request, fields: CallerFields, route: Route
     ) -> Outcome:
@@ -157,15 +154,15 @@
         seconds = fields.seconds if fields.seconds is not None else DEFAULT_SECONDS
         seconds = min(seconds, route.timeout)
         deadline = request.arrived + seconds
-        remaining = deadline - self._get_time()
+        remaining = deadline - time.monotonic()
         if remaining < LEAST_REMAINING_SECONDS:
             raise not_run(Reason.OVERLOADED, "no time is left")
         service = self._policies.routes.choose_service(route)
         if nested:
-            self._own_calls.note_call(service, self._get_time())
+            self._own_calls.note_call(service, time.monotonic())
         else:
             self._admit(service, rank_request(route, tenant), remaining)
-            self._budget.note_first(service, self._get_time())
+            self._budget.note_first(service, time.monotonic())
         if tenant is not None:
             # Last of all checks: what is refused above costs no token.
             self._charge(tenant, remaining)
@@ -192,9 +189,9 @@
             raise may_have_run(Reason.DEADLINE_EXCEEDED, detail) from error
         except Refusal as refusal:
             if refusal.verdict is Verdict.NOT_RUN and tenant is not None:
-                self._quotas.give_back(tenant, self._get_time())
+                self._quotas.give_back(tenant, time.monotonic())
             if refusal.verdict is Verdict.NOT_RUN and refusal.retry_after is None:
-                left = deadline - self._get_time()
+                left = deadline - time.monotonic()
                 refusal.retry_after = spread_retry(left, self._rng)
             raise
 
@@ -230,14 +227,14 @@
             raise not_run(Reason.CONFIGURATION_STALE, detail, 0.5)
 
     def _charge(self, tenant: Tenant, remaining: float) -> None:
-        if not self._quotas.take(tenant, len(self._fleet), self._get_time()):
+        if not self._quotas.take(tenant, len(self._fleet), time.monotonic()):
             detail = f"{tenant.name} is over its rate"
             retry = spread_retry(remaining, self._rng)
             raise not_run(Reason.RATE_EXCEEDED, detail, retry)
 
     def _admit(self, service: str, rank: int, remaining: float) -> None:
         visits = self._graph.get_visits(service)
-        self._admission.note_demand(visits, rank, self._get_time())
+        self._admission.note_demand(visits, rank, time.monotonic())
         if not self._admission.admits(visits, rank):
             retry = spread_retry(remaining, self._rng)
             detail = "a service that it leads to is overloaded"
@@ -246,7 +243,7 @@
     def _refuse(
         self, request: Request, fields: CallerFields, route: str, refusal: Refusal
     ) -> Reply:
-        seconds = self._get_time() - request.arrived
+        seconds = time.monotonic() - request.arrived
         self._meter.note_end(route, refusal.reason.code, seconds)
         self._journal.emit(
             CALL_REFUSED,
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -47,6 +47,8 @@
 # 0.7 s three of some dozen processes on starved machines were killed before they had
 # ended; with a second and more, calls that were about to be answered would be cut.
 STOP_MARGIN_SECONDS = 0.85
+# An age that is not known is told as this one, some days: a message holds no infinity.
+LONGEST_AGE_SECONDS = 1e6
 # Levels change in steps; the log has them once a second while any is below its top.
 LEVELS_TOLD_SECONDS = 1.0
 
@@ -84,11 +86,9 @@
         self._journal = journal
         self._rng = random.Random()
         self._stopping = False
-        self._drains: dict[str, int] = {}
-        self._drains_known = False
         self._levels_told = False
         self._levels_told_at = 0.0
-        self._drains_kept: set[str] = set()
+        self._occupied_lately = 0.0
         self._entry = NodeEntry(
             settings.name,
             settings.peers,
@@ -201,7 +201,7 @@
         """Return what this node tells of itself now."""
         now = time.monotonic()
         backend = self.backend
-        age = min(self.policies.age, 1e6)
+        age = min(self.policies.age, LONGEST_AGE_SECONDS)
         return NodeState(
             backend.instance,
             backend.slots,
@@ -228,7 +228,7 @@
 
     def build_policy_answer(self, request_id: int) -> PolicyAnswer:
         """Return the configuration in force."""
-        age = int(min(self.policies.age, 1e6) * 1000) + 1
+        age = int(min(self.policies.age, LONGEST_AGE_SECONDS) * 1000) + 1
         return PolicyAnswer(
             request_id, self.policies.version, age, self.policies.record
         )
@@ -245,26 +245,16 @@
 
     def list_gauges(self) -> list[tuple[str, str, float]]:
         """Return name, meaning and value of what is measured now."""
-        queue = self.backend.queue
-        age = min(self.policies.age, 1e6)
+        backend = self.backend
+        queue = backend.queue
+        age = min(self.policies.age, LONGEST_AGE_SECONDS)
+        streams = len(self.fleet.list_connected())
         return [
-            (
-                "occupied",
-                "Calls at work and waiting at the backend server.",
-                self.occupied,
-            ),
+            ("occupied", "Calls at work and waiting there.", self.occupied),
             ("slots", "Calls that it is given at once.", queue.limit),
             ("service_seconds", "Usual time of work there.", queue.service_seconds),
-            (
-                "failing_ratio",
-                "Share of calls that failed there.",
-                self.backend.failing,
-            ),
-            (
-                "peers",
-                "Nodes to which a stream is open.",
-                len(self.fleet.list_connected()),
-            ),
+            ("failing_ratio", "Share of calls that failed there.", backend.failing),
+            ("peers", "Nodes to which a stream is open.", streams),
             ("policy_version", "Configuration in force.", self.policies.version),
             ("policy_age_seconds", "For which a newer one may exist unseen.", age),
             ("in_flight", "Requests under way at this node.", self._count_busy()),
@@ -279,7 +269,6 @@
         self.fleet.learn(entry)
 
     def _start(self) -> None:
-        self._occupied_lately = 0.0
         parts: tuple[tuple[str, Callable[[], Awaitable[None]]], ...] = (
             ("peer server", self._peer_server.run),
             ("outbound", self._outbound.run),
