Split the HTTP server's messages from it; share socket options, header names and the tests' mesh

Change: moves only; http_messages.py, sockets.py, one fixture for two test files. Measured: mesh, boundary, path and fault tests green.

--- a/primroseglade/calls/connections.py
+++ b/primroseglade/calls/connections.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
-import socket
 from collections.abc import AsyncIterator
 
 import httptools
 
+from ..sockets import set_dead_peer_options
 from ..verdicts import may_have_run, not_run, Reason, Refusal
 from .call import Body, Context
 from .headers import Headers
@@ -19,7 +19,6 @@
 # A peer that vanished without closing, or a link that lost track of the connection:
 # the kernel finds the first kind within these seconds.
 KEEP_ALIVE_IDLE_SECONDS = 2
-KEEP_ALIVE_PROBES = 2
 UNACKNOWLEDGED_MS = 4000
 
 
@@ -80,16 +79,7 @@
         """Set the options that find a dead peer."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        sock = transport.get_extra_info("socket")
-        for level, option, value in (
-            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-        ):
-            sock.setsockopt(level, option, value)
+        set_dead_peer_options(transport, KEEP_ALIVE_IDLE_SECONDS, UNACKNOWLEDGED_MS)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail what waits for an answer."""
--- a/primroseglade/platform/dialect.py
+++ b/primroseglade/platform/dialect.py
@@ -6,7 +6,7 @@
 from ..sidecar.entry import CallerFields
 from ..sidecar.frames import Call
 from ..sidecar.http_client import Answer
-from ..sidecar.http_server import render_status_line, Reply, Request
+from ..sidecar.http_messages import render_status_line, Reply, Request
 from ..verdicts import Reason, Refusal, Verdict
 from .names import (
     AUTHORIZATION,
--- a/primroseglade/platform/names.py
+++ b/primroseglade/platform/names.py
@@ -1,5 +1,7 @@
 """The platform's header names, as its callers and backend servers spell them."""
 
+from ..calls.headers import HOP_BY_HOP as CONNECTION_HEADERS
+
 REQUEST_ID = b"x-primroseglade-request-id"
 # How many milliseconds the sender still waits, in spite of its name no point in time.
 REMAINING_MS = b"x-primroseglade-deadline-ms"
@@ -14,21 +16,8 @@
 HOST = b"host"
 CONNECTION = b"connection"
 
-# RFC 9110, section 7.6.1: these speak of one connection only.
-HOP_BY_HOP = frozenset(
-    {
-        CONNECTION,
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-    }
-)
+# The length is set anew for each connection, since whole bodies are held.
+HOP_BY_HOP = CONNECTION_HEADERS | {b"content-length"}
 # Set by nodes, whatever the sender says; and a 100-continue is answered here.
 SET_BY_NODES = HOP_BY_HOP | {
     REMAINING_MS,
--- a/primroseglade/platform/reports.py
+++ b/primroseglade/platform/reports.py
@@ -5,7 +5,8 @@
 
 from ..errors import InputError
 from ..observe.events import BACKEND_REPORT_REFUSED, Journal
-from ..sidecar.http_server import Handler, render_status_line, Reply, Request
+from ..sidecar.http_messages import render_status_line, Reply, Request
+from ..sidecar.http_server import Handler
 from ..sidecar.model import BackendState, StatusReport
 from ..sidecar.node import SidecarNode
 from .values import Fields
--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -11,7 +11,7 @@
 from .call_graph import CallGraph, OwnCalls
 from .dispatch import Dispatcher, Outcome, OutgoingCall, spread_retry
 from .fleet import Fleet
-from .http_server import Reply, Request
+from .http_messages import Reply, Request
 from .meter import Meter
 from .model import rank_request, Route, Tenant
 from .policy_keeper import PolicyKeeper
--- a/primroseglade/sidecar/http_client.py
+++ b/primroseglade/sidecar/http_client.py
@@ -6,13 +6,13 @@
 """
 
 import asyncio
-import socket
 import time
 from collections.abc import Callable
 
 import httptools
 
 from ..addresses import parse_address
+from ..sockets import set_dead_peer_options
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -20,7 +20,6 @@
 # Longer than two retransmissions in one site, shorter than most callers wait.
 UNACKNOWLEDGED_MS = 1500
 KEEP_ALIVE_IDLE_SECONDS = 1
-KEEP_ALIVE_PROBES = 2
 # Idle seconds after which a connection is not used again where its server did not
 # say how long it keeps one; usual servers close after 5 s or more.
 IDLE_SECONDS = 4.0
@@ -60,20 +59,6 @@
 Accept = Callable[[Answer], bool]
 
 
-def set_dead_peer_options(transport: asyncio.Transport) -> None:
-    """Have the kernel close a connection whose other end no longer answers."""
-    sock = transport.get_extra_info("socket")
-    for level, option, value in (
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-    ):
-        sock.setsockopt(level, option, value)
-
-
 class ClientConnection(asyncio.Protocol):
     """One connection, one request at a time."""
 
@@ -123,7 +108,7 @@
         """Set the options that find a dead peer."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        set_dead_peer_options(transport)
+        set_dead_peer_options(transport, KEEP_ALIVE_IDLE_SECONDS, UNACKNOWLEDGED_MS)
 
     def eof_received(self) -> bool:
         """End an answer that has no length, and close."""
--- a/primroseglade/sidecar/http_server.py
+++ b/primroseglade/sidecar/http_server.py
@@ -4,15 +4,13 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
 
 import httptools
 
 from ..addresses import parse_address
+from .http_messages import RawHeaders, render_status_line, Reply, Request, WITHOUT_BODY
 from .model import CallerLimits
 
-RawHeaders = list[tuple[bytes, bytes]]
-
 # How often idle and unfinished connections are looked for, in seconds; limits on
 # callers are whole seconds.
 SWEEP_SECONDS = 0.5
@@ -25,71 +23,6 @@
 # opening packets, which callers send again only after seconds.
 BACKLOG = 1024
 
-PHRASES = {
-    status.value: b"HTTP/1.1 %d %b\r\n" % (status.value, status.phrase.encode())
-    for status in HTTPStatus
-}
-
-
-def render_status_line(status: int) -> bytes:
-    """Return an answer's first line.
-
-    >>> render_status_line(503)
-    b'HTTP/1.1 503 Service Unavailable\\r\\n'
-    """
-    return PHRASES.get(status) or b"HTTP/1.1 %d Unknown\r\n" % status
-
-
-# RFC 9110, section 8.6: these answers have no body and tell no length.
-WITHOUT_BODY = (PHRASES[204], PHRASES[304])
-
-
-class Request:
-    """A whole request of a caller."""
-
-    __slots__ = ("arrived", "body", "headers", "keep_alive", "method", "peer", "target")
-
-    def __init__(
-        self,
-        method: bytes,
-        target: bytes,
-        headers: RawHeaders,
-        body: bytes,
-        keep_alive: bool,
-        peer: str,
-        arrived: float,
-    ):
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.keep_alive = keep_alive
-        self.peer = peer
-        self.arrived = arrived
-
-
-class Reply:
-    """An answer.
-
-    Args:
-        head: Status line and headers, but for those of this connection.
-        body: The whole body.
-        close: Whether the connection ends with it.
-        framed: Whether its length and the end of the head are to be added; stand-ins
-            of faulty servers write their own.
-    """
-
-    __slots__ = ("body", "close", "framed", "head")
-
-    def __init__(
-        self, head: bytes, body: bytes, close: bool = False, framed: bool = True
-    ):
-        self.head = head
-        self.body = body
-        self.close = close
-        self.framed = framed
-
-
 Handler = Callable[[Request], Awaitable[Reply]]
 
 
--- a/primroseglade/sidecar/meter.py
+++ b/primroseglade/sidecar/meter.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from typing import Any, TYPE_CHECKING
 
-from .http_server import render_status_line, Reply, Request
+from .http_messages import render_status_line, Reply, Request
 
 if TYPE_CHECKING:
     from .node import SidecarNode
--- a/primroseglade/sidecar/streams.py
+++ b/primroseglade/sidecar/streams.py
@@ -4,8 +4,9 @@
 import time
 from collections.abc import Callable
 
+from ..sockets import set_dead_peer_options
 from .frames import encode_frame, Frame, FrameError, FrameReader
-from .http_client import set_dead_peer_options
+from .http_client import KEEP_ALIVE_IDLE_SECONDS, UNACKNOWLEDGED_MS
 
 # Bytes that may wait unsent on a stream; a peer that does not read for as long as
 # they fill is cut off, so that it cannot take this process's memory.
@@ -59,7 +60,7 @@
         """Set the options that find a dead peer."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        set_dead_peer_options(transport)
+        set_dead_peer_options(transport, KEEP_ALIVE_IDLE_SECONDS, UNACKNOWLEDGED_MS)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell that it is gone."""
--- a/primroseglade/stand_ins/mesh_backend.py
+++ b/primroseglade/stand_ins/mesh_backend.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from ..sidecar.http_client import ConnectionPool
-from ..sidecar.http_server import HttpServer, render_status_line, Reply, Request
+from ..sidecar.http_messages import render_status_line, Reply, Request
+from ..sidecar.http_server import HttpServer
 
 REPORT_SECONDS = 0.3
 
--- a/primroseglade/stand_ins/store.py
+++ b/primroseglade/stand_ins/store.py
@@ -6,7 +6,8 @@
 import struct
 from urllib.parse import parse_qs, urlsplit
 
-from ..sidecar.http_server import HttpServer, render_status_line, Reply, Request
+from ..sidecar.http_messages import render_status_line, Reply, Request
+from ..sidecar.http_server import HttpServer
 
 JSON_TYPE = b"Content-Type: application/json\r\n"
 RAW_TYPE = b"Content-Type: application/octet-stream\r\n"
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,12 @@
-"""Settings of all tests."""
+"""Settings of all tests, and the mesh that several files use."""
 
+from collections.abc import AsyncIterator
+
+import pytest
 from hypothesis import HealthCheck, settings
 
+from .mesh import build_configuration, Mesh, PATHS, run_mesh
+
 settings.register_profile(
     "fixed",
     derandomize=True,
@@ -9,3 +14,14 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 settings.load_profile("fixed")
+
+
+@pytest.fixture
+async def mesh() -> AsyncIterator[Mesh]:
+    """A node of one service and two of another."""
+    mesh = Mesh()
+    for service in ("front", "deep", "deep"):
+        mesh.add(service)
+    mesh.store.publish(build_configuration(1, *PATHS))
+    async with run_mesh(mesh):
+        yield mesh
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -54,6 +54,15 @@
     return path | changes
 
 
+# Routes of the mesh that most tests use.
+PATHS = (
+    build_path("front", "front"),
+    build_path("deep", "deep"),
+    build_path("once", "deep", kind="unsafe"),
+    build_path("inner", "deep", public=True),
+)
+
+
 def build_configuration(version: int, *paths: dict[str, Any], **changes: Any) -> Any:
     """Return a configuration as the operator writes it."""
     tenants = [
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -1,24 +1,8 @@
 """What nodes do when backend servers, the store, peers or they themselves fail."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
-import pytest
-
-from .mesh import ask, build_configuration, build_path, Mesh, Place, run_mesh
-
-PATHS = (build_path("front", "front"), build_path("deep", "deep"))
-
-
-@pytest.fixture
-async def mesh() -> AsyncIterator[Mesh]:
-    """A node of one service and two of another."""
-    mesh = Mesh()
-    for service in ("front", "deep", "deep"):
-        mesh.add(service)
-    mesh.store.publish(build_configuration(1, *PATHS))
-    async with run_mesh(mesh):
-        yield mesh
+from .mesh import ask, build_configuration, Mesh, PATHS, Place, run_mesh
 
 
 async def wait_until(condition: object, seconds: float = 5.0) -> None:
@@ -131,7 +115,7 @@
     mesh = Mesh()
     for service in ("front", "deep"):
         mesh.add(service, revoke=1.5)
-    paths = [*PATHS, build_path("inner", "deep", public=True)]
+    paths = PATHS
     mesh.store.publish(build_configuration(1, *paths))
     async with run_mesh(mesh):
         assert (await ask(mesh.places[0], "/deep/a")).status == 200
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -1,12 +1,11 @@
 """Requests through two nodes to a backend server, and what may go wrong there."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import pytest
 
 from primroseglade.sidecar.http_client import ConnectionPool
-from primroseglade.sidecar.http_server import render_status_line, Reply, Request
+from primroseglade.sidecar.http_messages import render_status_line, Reply, Request
 
 from .mesh import (
     ask,
@@ -16,27 +15,9 @@
     get_header,
     HOST,
     Mesh,
-    run_mesh,
+    PATHS,
 )
 
-PATHS = (
-    build_path("front", "front"),
-    build_path("deep", "deep"),
-    build_path("once", "deep", kind="unsafe"),
-    build_path("inner", "deep", public=True),
-)
-
-
-@pytest.fixture
-async def mesh() -> AsyncIterator[Mesh]:
-    """A node of one service and two of another."""
-    mesh = Mesh()
-    for service in ("front", "deep", "deep"):
-        mesh.add(service)
-    mesh.store.publish(build_configuration(1, *PATHS))
-    async with run_mesh(mesh):
-        yield mesh
-
 
 def count_runs(mesh: Mesh, request_id: str) -> int:
     """Return on how many backend servers a request ran."""
