--- a/primroseglade/sidecar/http_client.py
+++ b/primroseglade/sidecar/http_client.py
@@ -104,9 +104,8 @@
             and not transport.get_write_buffer_size()
         )
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+    def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the options that find a dead peer."""
-        assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         set_dead_peer_options(transport, KEEP_ALIVE_IDLE_SECONDS, UNACKNOWLEDGED_MS)
 
--- a/primroseglade/sidecar/http_server.py
+++ b/primroseglade/sidecar/http_server.py
@@ -155,9 +155,8 @@
         """Whether a request is being read or answered."""
         return self._working or self._current or bool(self._requests)
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+    def connection_made(self, transport: asyncio.Transport) -> None:
         """Start the connection's task."""
-        assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/primroseglade/sidecar/streams.py
+++ b/primroseglade/sidecar/streams.py
@@ -16,8 +16,8 @@
 class FrameStream(asyncio.Protocol):
     """One connection to another node.
 
-    Frames written in one turn of the loop leave in one system call: under load most
-    of a frame's cost is waking up and calling the kernel.
+    The loop of the platform's node sends what was written in one turn with one system
+    call: under load most of a frame's cost is waking up and calling the kernel.
 
     Args:
         receive: Called with each frame.
@@ -26,8 +26,6 @@
 
     __slots__ = (
         "_broken",
-        "_buffer",
-        "_flush_later",
         "_lost",
         "_reader",
         "_receive",
@@ -44,11 +42,7 @@
         self._lost = lost
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
-        self._buffer: list[bytes] = []
         self._broken = ""
-        loop = asyncio.get_running_loop()
-        # Loops of tests and other programs flush in their next turn.
-        self._flush_later = getattr(loop, "flush_later", loop.call_soon)
         self.heard_at = time.monotonic()
 
     @property
@@ -56,9 +50,8 @@
         """Whether nothing can be sent any more."""
         return self._transport is None or self._transport.is_closing()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+    def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the options that find a dead peer."""
-        assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         set_dead_peer_options(transport, KEEP_ALIVE_IDLE_SECONDS, UNACKNOWLEDGED_MS)
 
@@ -85,10 +78,12 @@
             self._receive(self, frame)
 
     def send(self, frame: Frame) -> None:
-        """Send a frame with the others of this turn of the loop."""
-        if not self._buffer:
-            self._flush_later(self._flush)
-        self._buffer.append(encode_frame(frame))
+        """Send a frame; without effect once the connection is gone."""
+        if self._transport is None:
+            return
+        self._transport.write(encode_frame(frame))
+        if self._transport.get_write_buffer_size() > UNSENT_BYTES:
+            self.close()
 
     def close(self) -> None:
         """Close it at once."""
@@ -97,15 +92,5 @@
 
     def finish(self) -> None:
         """Close it when all is sent."""
-        self._flush()
         if self._transport is not None:
             self._transport.close()
-
-    def _flush(self) -> None:
-        buffer = self._buffer
-        self._buffer = []
-        if self._transport is None or not buffer:
-            return
-        self._transport.write(buffer[0] if len(buffer) == 1 else b"".join(buffer))
-        if self._transport.get_write_buffer_size() > UNSENT_BYTES:
-            self.close()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,10 @@
 """Settings of all tests, and the mesh that several files use."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import pytest
+import uvloop
 from hypothesis import HealthCheck, settings
 
 from .mesh import build_configuration, Mesh, PATHS, run_mesh
@@ -16,6 +18,16 @@
 settings.load_profile("fixed")
 
 
+@pytest.fixture(scope="module")
+def event_loop_policy(
+    request: pytest.FixtureRequest,
+) -> asyncio.AbstractEventLoopPolicy:
+    """The loop of a file's tests: those of the platform's node run on its own."""
+    if "mesh" in request.module.__name__:
+        return uvloop.EventLoopPolicy()
+    return asyncio.DefaultEventLoopPolicy()
+
+
 @pytest.fixture
 async def mesh() -> AsyncIterator[Mesh]:
     """A node of one service and two of another."""
