Tell calls apart by the route of the run that makes them

Cause: what a request leads to was reckoned by its service, as the average over all runs there. Uploads (which call nobody) were refused for look-ups at the same service that lead to an overloaded one, and look-ups counted more calls than they make. Runs count when they start and end at the backend server, no longer when a call comes: what the queue refuses is no run. Calls also stay in their availability zone unless that costs a tenth of the target: bytes are the dearest price there.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -14,6 +14,7 @@
 from .frames import Call
 from .http_client import Answer, ConnectionPool, ExchangeError
 from .model import BackendState, StatusReport
+from .own_calls import OwnCalls
 
 CONNECT_SECONDS = 1.0
 # Weight of a new outcome in the share of failed calls, about the last 30 calls.
@@ -76,15 +77,22 @@
         service: What the platform says it serves.
         address: Where the platform says it listens.
         dialect: How to speak to it.
+        own_calls: Counts its runs.
         journal: Where changes are told.
     """
 
     def __init__(
-        self, service: str, address: str, dialect: BackendDialect, journal: Journal
+        self,
+        service: str,
+        address: str,
+        dialect: BackendDialect,
+        own_calls: OwnCalls,
+        journal: Journal,
     ):
         self._service = service
         self._address = address
         self._dialect = dialect
+        self._own_calls = own_calls
         self._journal = journal
         self._report: StatusReport | None = None
         self._left: dict[str, int] = {}
@@ -204,6 +212,7 @@
         await self.queue.acquire(call.target_ms / 1000, remaining, call.nested)
         started = time.monotonic()
         seconds: float | None = None
+        self._own_calls.note_start(call.route, started)
         try:
             # It may have left while the call waited.
             self._check_instance(call)
@@ -211,6 +220,7 @@
             seconds = time.monotonic() - started
             return served
         finally:
+            self._own_calls.note_end(call.route, time.monotonic())
             self.queue.release(seconds)
 
     def _start_lifetime(self, report: StatusReport) -> None:
--- a/primroseglade/sidecar/choice.py
+++ b/primroseglade/sidecar/choice.py
@@ -3,11 +3,12 @@
 import random
 from collections.abc import Collection
 
-# What a call to another availability zone has to be better by. Bytes between zones
-# are what users pay most for after the machines; with less, light load spreads over
-# all zones for a gain of milliseconds that no caller sees.
-OTHER_ZONE_FACTOR = 1.25
+# What a call to another availability zone has to be better by: the way there and back,
+# and a part of the time in which its answer has its full use. Bytes between zones are
+# what users pay most for after the machines; a caller does not see a tenth of its
+# target, not even for several calls one after the other.
 OTHER_ZONE_MS = 2.0
+OTHER_ZONE_PART = 0.1
 # And for each kilobyte of its body: large bodies stay near unless that is far worse.
 OTHER_ZONE_MS_A_KILOBYTE = 1.0
 # A failed call costs its caller about as much as so many calls' time.
@@ -57,15 +58,27 @@
 ROOM_TO_EXPLORE = 0.7
 
 
-def estimate_cost(candidate: Candidate, body_bytes: int = 0) -> float:
+def price_other_zone(target: float, body_bytes: int) -> float:
+    """Return by how many milliseconds another availability zone has to be better.
+
+    Args:
+        target: Seconds within which the answer has its full use.
+        body_bytes: Size of the call's body.
+    """
+    price = OTHER_ZONE_MS + OTHER_ZONE_PART * target * 1000
+    return price + body_bytes / 1000 * OTHER_ZONE_MS_A_KILOBYTE
+
+
+def estimate_cost(candidate: Candidate, other_zone_ms: float) -> float:
     """Return the expected milliseconds of a call there, with what else it costs.
 
     >>> near = Candidate("a", True, 20, 10, 15.0, 0.0)
     >>> far = Candidate("b", False, 20, 10, 15.0, 0.0)
-    >>> estimate_cost(near) < estimate_cost(far)
+    >>> price = price_other_zone(0.3, 0)
+    >>> estimate_cost(near, price) < estimate_cost(far, price)
     True
-    >>> full = Candidate("a", True, 20, 60, 15.0, 0.0)
-    >>> estimate_cost(full) > estimate_cost(far)
+    >>> full = Candidate("a", True, 20, 90, 15.0, 0.0)
+    >>> estimate_cost(full, price) > estimate_cost(far, price)
     True
     """
     used = (candidate.occupied + 1) / max(1, candidate.slots)
@@ -73,18 +86,24 @@
     cost = max(1.0, candidate.service_ms) * (1.0 + min(used, 1.0) ** 2 + waiting)
     cost *= 1.0 + FAILURE_FACTOR * candidate.failing
     if not candidate.same_zone:
-        cost = cost * OTHER_ZONE_FACTOR + OTHER_ZONE_MS
-        cost += body_bytes / 1000 * OTHER_ZONE_MS_A_KILOBYTE
+        cost += other_zone_ms
     return cost
 
 
 def choose(
     candidates: list[Candidate],
     tried: Collection[str],
-    body_bytes: int,
+    other_zone_ms: float,
     rng: random.Random,
 ) -> Candidate | None:
-    """Return where the next attempt goes, or None if nothing is left to try."""
+    """Return where the next attempt goes, or None if nothing is left to try.
+
+    Args:
+        candidates: Nodes whose backend servers serve the call.
+        tried: Names of nodes that are not to be asked again.
+        other_zone_ms: Of `price_other_zone`.
+        rng: Breaks ties.
+    """
     left = [item for item in candidates if item.name not in tried]
     if len(left) > SAMPLE:
         near = [item for item in left if item.same_zone]
@@ -96,7 +115,7 @@
     best: Candidate | None = None
     least = 0.0
     for item in left:
-        cost = estimate_cost(item, body_bytes) * (1.0 + JITTER * rng.random())
+        cost = estimate_cost(item, other_zone_ms) * (1.0 + JITTER * rng.random())
         if best is None or cost < least:
             best = item
             least = cost
--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -7,8 +7,8 @@
 from ..observe.events import CALL_REPEATED, Journal
 from ..verdicts import not_run, Reason, Refusal, Verdict
 from .backend import Backend, BackendRefusal, Served
-from .call_graph import CallGraph, OwnCalls
-from .choice import Candidate
+from .call_graph import CallGraph
+from .choice import Candidate, price_other_zone
 from .fleet import Fleet
 from .frames import Call
 from .meter import Meter
@@ -155,7 +155,6 @@
         backend: The own backend server.
         fleet: The others.
         budget: Of repeats.
-        own_calls: Counts runs at the own backend server.
         graph: Which calls a repeat makes again.
         journal: Where repeats are told.
         meter: Counts repeats.
@@ -167,7 +166,6 @@
         backend: Backend,
         fleet: Fleet,
         budget: RetryBudget,
-        own_calls: OwnCalls,
         graph: CallGraph,
         journal: Journal,
         meter: Meter,
@@ -176,7 +174,6 @@
         self._backend = backend
         self._fleet = fleet
         self._budget = budget
-        self._own_calls = own_calls
         self._graph = graph
         self._journal = journal
         self._meter = meter
@@ -260,7 +257,7 @@
             return False
         if call.nested and self._fleet.get_failing(call.service) > MOST_FAILING:
             return False
-        visits = self._graph.get_visits(call.service)
+        visits = self._graph.get_visits(call.route.name, call.service)
         return self._budget.take(visits, len(self._fleet), time.monotonic())
 
     def _choose(self, call: OutgoingCall, tried: set[str]) -> Candidate | None:
@@ -276,7 +273,8 @@
                 backend.service_ms,
                 backend.failing,
             )
-        return self._fleet.choose(call.service, own, tried, len(call.body))
+        price = price_other_zone(call.route.target_latency, len(call.body))
+        return self._fleet.choose(call.service, own, tried, price)
 
     async def _send(self, call: OutgoingCall, candidate: Candidate) -> Outcome:
         remaining = call.deadline - time.monotonic()
@@ -323,7 +321,6 @@
             Refusal: With the verdict that holds for it.
         """
         remaining = message.remaining_ms / 1000
-        self._own_calls.note_run(time.monotonic())
         # Whoever sent it cancels it when its time is up; a timer of its own for each
         # call would cost as much as half of the work on it.
         return await self._backend.serve(message, remaining)
--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -8,12 +8,13 @@
 from ..observe.events import CALL_ANSWERED, CALL_FAILED, CALL_REFUSED, Journal
 from ..verdicts import may_have_run, not_run, Reason, Refusal, Verdict
 from .admission import Admission
-from .call_graph import CallGraph, OwnCalls
+from .call_graph import CallGraph
 from .dispatch import Dispatcher, Outcome, OutgoingCall, spread_retry
 from .fleet import Fleet
 from .http_messages import Reply, Request
 from .meter import Meter
 from .model import rank_request, Route, Tenant
+from .own_calls import OwnCalls
 from .policy_keeper import PolicyKeeper
 from .quota import Quotas
 from .retry_budget import RetryBudget
@@ -159,9 +160,9 @@
             raise not_run(Reason.OVERLOADED, "no time is left")
         service = self._policies.routes.choose_service(route)
         if nested:
-            self._own_calls.note_call(service, time.monotonic())
+            self._own_calls.note_call(route.name, time.monotonic())
         else:
-            self._admit(service, rank_request(route, tenant), remaining)
+            self._admit(route, service, rank_request(route, tenant), remaining)
             self._budget.note_first(service, time.monotonic())
         if tenant is not None:
             # Last of all checks: what is refused above costs no token.
@@ -232,8 +233,8 @@
             retry = spread_retry(remaining, self._rng)
             raise not_run(Reason.RATE_EXCEEDED, detail, retry)
 
-    def _admit(self, service: str, rank: int, remaining: float) -> None:
-        visits = self._graph.get_visits(service)
+    def _admit(self, route: Route, service: str, rank: int, remaining: float) -> None:
+        visits = self._graph.get_visits(route.name, service)
         self._admission.note_demand(visits, rank, time.monotonic())
         if not self._admission.admits(visits, rank):
             retry = spread_retry(remaining, self._rng)
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -73,7 +73,7 @@
         service: str,
         own: Candidate | None,
         tried: Collection[str],
-        body_bytes: int,
+        other_zone_ms: float,
     ) -> Candidate | None:
         """Return where a call to a service goes next.
 
@@ -81,7 +81,7 @@
             service: What is called.
             own: This node, where its backend server serves it.
             tried: Names of nodes that are not to be asked again.
-            body_bytes: Size of its body.
+            other_zone_ms: By how much another availability zone has to be better.
         """
         candidates = [own] if own is not None else []
         suspects: list[Candidate] = []
@@ -99,8 +99,8 @@
                 state.failing,
             )
             (suspects if peer.suspect else candidates).append(candidate)
-        return choose(candidates, tried, body_bytes, self._rng) or choose(
-            suspects, tried, body_bytes, self._rng
+        return choose(candidates, tried, other_zone_ms, self._rng) or choose(
+            suspects, tried, other_zone_ms, self._rng
         )
 
     def get_failing(self, service: str) -> float:
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -244,7 +244,8 @@
         failing: Share of calls that failed there lately.
         policy_version: Version of the configuration in force.
         policy_age_ms: Milliseconds for which a newer one may exist unseen.
-        calls_below: Calls to other services for each run, by service.
+        calls_below: Calls for each run, by the run's route and the calls' route;
+            the average over all runs under ``""``.
         usage: By workspace.
     """
 
@@ -255,5 +256,5 @@
     failing: float = 0.0
     policy_version: int = 0
     policy_age_ms: int = 0
-    calls_below: dict[str, float] = {}
+    calls_below: dict[str, dict[str, float]] = {}
     usage: dict[str, Usage] = {}
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -17,7 +17,7 @@
 from ..supervisor import Supervisor
 from .admission import Admission, Load, STEP_SECONDS
 from .backend import Backend, BackendDialect
-from .call_graph import CallGraph, OwnCalls
+from .call_graph import CallGraph
 from .dispatch import Dispatcher
 from .entry import CallerDialect, Entry
 from .fleet import Fleet
@@ -31,6 +31,7 @@
 )
 from .node_settings import NodeSettings
 from .node_store import NodeStore
+from .own_calls import OwnCalls
 from .peer import Peer
 from .peer_server import PeerServer
 from .policy_keeper import PolicyKeeper, StoreError
@@ -98,7 +99,10 @@
         )
         self._supervisor = Supervisor("node", journal)
         self.policies = PolicyKeeper(store, settings.revoke, journal)
-        self.backend = Backend(settings.service, settings.backend, dialect, journal)
+        self.own_calls = OwnCalls()
+        self.backend = Backend(
+            settings.service, settings.backend, dialect, self.own_calls, journal
+        )
         self.fleet = Fleet(self, self._supervisor, journal, self._rng)
         self.leaves = Leaves(
             self.backend,
@@ -112,7 +116,6 @@
         self.quotas = Quotas(settings.first_start)
         self.admission = Admission(self._rng)
         self.graph = CallGraph()
-        self.own_calls = OwnCalls()
         self.meter = Meter()
         self.budget = RetryBudget(
             settings.retry_ratio, settings.retry_fixed, settings.retry_window
@@ -122,7 +125,6 @@
             self.backend,
             self.fleet,
             self.budget,
-            self.own_calls,
             self.graph,
             journal,
             self.meter,
@@ -366,7 +368,7 @@
             LEVELS_SET,
             levels={name: round(level, 2) for name, level in levels.items()},
             pressure={name: round(load.pressure, 2) for name, load in loads.items()},
-            calls=self.graph.get_visits(self._settings.service),
+            calls=self.graph.get_visits("", self._settings.service),
         )
 
     def _rebuild_graph(self) -> None:
@@ -379,4 +381,4 @@
         own = self.own_calls.describe(now)
         if own:
             told.append((self._settings.service, own))
-        self.graph.rebuild(told)
+        self.graph.rebuild(told, self.policies.routes.by_name)
--- a/primroseglade/sidecar/route_table.py
+++ b/primroseglade/sidecar/route_table.py
@@ -13,6 +13,7 @@
     def __init__(self, routes: list[Route]):
         self._hosts: dict[bytes, list[tuple[bytes, Route]]] = {}
         self._credits: dict[str, dict[str, float]] = {}
+        self.by_name = {route.name: route for route in routes}
         for route in routes:
             entries = self._hosts.setdefault(route.host.lower().encode(), [])
             entries.append((route.prefix.encode(), route))
--- a/tests/test_call_graph.py
+++ b/tests/test_call_graph.py
@@ -4,12 +4,32 @@
 import time
 
 from primroseglade.sidecar.call_graph import CallGraph
+from primroseglade.sidecar.model import Route, RouteKind, WeightedService
 
 # Walking the paths of the graph below took hours, adding up levels takes
 # milliseconds; this is far from both.
 SECONDS = 2.0
 
 
+def build_routes(**services: str) -> dict[str, Route]:
+    """Return routes by name, each served by one service."""
+    return {
+        name: Route(
+            name,
+            "host",
+            f"/{name}/",
+            RouteKind.SAFE,
+            [WeightedService(service, 1.0)],
+            1.0,
+            0.5,
+            0,
+            1,
+            True,
+        )
+        for name, service in services.items()
+    }
+
+
 def test_a_dense_graph_is_added_up_in_no_time():
     """Callers saw answers take seconds although no service was busy: a configuration
     had moved routes, and for some seconds each service had called most others. Nodes
@@ -17,10 +37,12 @@
     """
     names = [f"service-{number}" for number in range(9)]
     graph = CallGraph()
-    graph.rebuild([(name, dict.fromkeys(names, 0.1)) for name in names])
+    below = dict.fromkeys(names, 0.1)
+    routes = build_routes(**{name: name for name in names})
+    graph.rebuild([(name, {"": below, name: below}) for name in names], routes)
     started = time.monotonic()
     for name in names:
-        graph.get_visits(name)
+        graph.get_visits(name, name)
     assert time.monotonic() - started < SECONDS
 
 
@@ -29,13 +51,14 @@
     graph = CallGraph()
     graph.rebuild(
         [
-            ("root", {"left": 1.0, "right": 2.0}),
-            ("left", {"deep": 4.0}),
-            ("right", {"deep": 1.0}),
-            ("deep", {}),
-        ]
+            ("root", {"root": {"left": 1.0, "right": 2.0}}),
+            ("left", {"left": {"deep": 4.0}}),
+            ("right", {"right": {"deep": 1.0}}),
+            ("deep", {"deep": {}}),
+        ],
+        build_routes(left="left", right="right", deep="deep"),
     )
-    assert graph.get_visits("root") == {
+    assert graph.get_visits("root", "root") == {
         "root": 1.0,
         "left": 1.0,
         "right": 2.0,
@@ -46,7 +69,42 @@
 def test_services_that_call_each_other_end():
     """A cycle is followed for as long as calls remain, and not for ever."""
     graph = CallGraph()
-    graph.rebuild([("a", {"b": 1.0}), ("b", {"a": 1.0})])
-    visits = graph.get_visits("a")
+    graph.rebuild(
+        [("a", {"a": {"b": 1.0}}), ("b", {"b": {"a": 1.0}})],
+        build_routes(a="a", b="b"),
+    )
+    visits = graph.get_visits("a", "a")
     assert set(visits) == {"a", "b"}
     assert all(count < 100 for count in itertools.chain(visits.values()))
+
+
+def test_routes_of_one_service_lead_to_different_places():
+    """An upload was refused since look-ups at the same service lead to one that was
+    overloaded. Each route has a tree of its own.
+    """
+    graph = CallGraph()
+    told = {"": {"lookup": 3.2}, "index": {"lookup": 4.0}, "upload": {}}
+    graph.rebuild([("images", told)], build_routes(lookup="deep"))
+    assert graph.get_visits("upload", "images") == {"images": 1.0}
+    assert graph.get_visits("index", "images")["deep"] == 4.0
+
+
+def test_a_route_that_is_new_at_its_service_counts_as_the_average():
+    """Before any run of it was seen, what others there call is the best guess."""
+    graph = CallGraph()
+    told = {"": {"lookup": 3.2}, "index": {"lookup": 4.0}}
+    graph.rebuild([("images", told)], build_routes(lookup="deep"))
+    assert graph.get_visits("moved", "images")["deep"] == 3.2
+
+
+def test_calls_of_a_split_route_are_shared_out_by_weight():
+    """A quarter of the calls goes to the service with a quarter of the weight."""
+    graph = CallGraph()
+    routes = build_routes(lookup="old")
+    routes["lookup"].services = [
+        WeightedService("old", 3.0),
+        WeightedService("new", 1.0),
+    ]
+    graph.rebuild([("images", {"index": {"lookup": 4.0}})], routes)
+    visits = graph.get_visits("index", "images")
+    assert visits == {"images": 1.0, "old": 3.0, "new": 1.0}
