--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -39,18 +39,38 @@
 
 
 class Load:
-    """How busy a service is."""
+    """How busy a service is, over all its backend servers.
 
-    __slots__ = ("occupied", "slots")
+    Each counts by what it gets done, its slots over its time of work. One of five that
+    became twelve times slower, with a long queue, is a sixtieth of the service; counted
+    by slots alone it had requests refused while four others stood half empty.
+    """
+
+    __slots__ = ("_known", "_unknown")
 
-    def __init__(self, occupied: float = 0.0, slots: float = 0.0):
-        self.occupied = occupied
-        self.slots = slots
+    def __init__(self) -> None:
+        # Of servers whose time of work is known: sums of pressure times weight, and of
+        # weights; of the others, just as long as none is known.
+        self._known = [0.0, 0.0]
+        self._unknown = [0.0, 0.0]
 
     @property
     def pressure(self) -> float:
         """Calls at work and waiting for each slot."""
-        return self.occupied / self.slots if self.slots else 0.0
+        weighted, weights = self._known if self._known[1] else self._unknown
+        return weighted / weights if weights else 0.0
+
+    def add(self, occupied: float, slots: float, service_ms: float) -> None:
+        """Add a backend server.
+
+        Args:
+            occupied: Calls at work and waiting there.
+            slots: Calls that it works on at once.
+            service_ms: Usual milliseconds of work, 0 before the first call.
+        """
+        sums = self._known if service_ms else self._unknown
+        sums[0] += occupied / (service_ms or 1.0)
+        sums[1] += slots / (service_ms or 1.0)
 
 
 class Admission:
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -132,9 +132,9 @@
         for peer in self._peers.values():
             if not peer.connected or not peer.state.instance:
                 continue
+            state = peer.state
             load = loads.setdefault(peer.entry.service, Load())
-            load.occupied += peer.state.occupied
-            load.slots += peer.state.slots
+            load.add(state.occupied, state.slots, state.service_ms)
         return loads
 
     def _index(self) -> None:
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -385,10 +385,10 @@
             await asyncio.sleep(STEP_SECONDS)
             self._occupied_lately = self.backend.queue.take_average()
             loads = self.fleet.sum_loads()
-            if self.backend.instance:
+            backend = self.backend
+            if backend.instance:
                 own = loads.setdefault(self._settings.service, Load())
-                own.occupied += self._occupied_lately
-                own.slots += self.backend.slots
+                own.add(self._occupied_lately, backend.slots, backend.service_ms)
             self.admission.update(loads, time.monotonic())
             self._tell_levels(loads)
             self._rebuild_graph()
--- a/tests/test_admission_levels.py
+++ b/tests/test_admission_levels.py
@@ -12,6 +12,13 @@
 LAG_STEPS = 2
 
 
+def build_load(occupied: float, slots: float) -> Load:
+    """Return the load of a service with one backend server."""
+    load = Load()
+    load.add(occupied, slots, 15.0)
+    return load
+
+
 class Deep:
     """A service that works on so many calls a step; the rest waits or is dropped."""
 
@@ -27,7 +34,7 @@
         self.waiting = max(0.0, self.waiting + calls - self.capacity)
         self.waiting = min(self.waiting, 3 * self.slots)
         self.told.append(self.slots * busy + self.waiting)
-        return Load(self.told.pop(0), self.slots)
+        return build_load(self.told.pop(0), self.slots)
 
 
 def play(demand: dict[int, int], capacity: float, steps: int) -> dict[int, float]:
@@ -122,13 +129,25 @@
     visits = {"front": 1.0, "deep": 4.0}
     for step in range(40):
         admission.note_demand(visits, USUAL, step * STEP_SECONDS)
-        admission.update({"deep": Load(80.0, 20.0)}, step * STEP_SECONDS)
+        admission.update({"deep": build_load(80.0, 20.0)}, step * STEP_SECONDS)
     assert admission.levels["deep"] < 0.1
     # From now on the demand takes six tenths of the slots.
     levels = [admission.levels["deep"]] * (LAG_STEPS + 1)
     for step in range(40, 40 + int(3.0 / STEP_SECONDS)):
         admission.note_demand(visits, USUAL, step * STEP_SECONDS)
-        load = Load(20.0 * 0.6 * levels[-LAG_STEPS], 20.0)
+        load = build_load(20.0 * 0.6 * levels[-LAG_STEPS], 20.0)
         admission.update({"deep": load}, step * STEP_SECONDS)
         levels.append(admission.levels.get("deep", 1.0))
     assert levels[-1] == 1.0
+
+
+def test_one_slow_backend_server_of_three_does_not_close_the_service():
+    """One of three backend servers became twelve times slower and gathered a queue.
+    Callers of the service were refused for seconds, while the two others had room for
+    everything.
+    """
+    load = Load()
+    load.add(180.0, 46.0, 360.0)
+    load.add(25.0, 46.0, 30.0)
+    load.add(25.0, 46.0, 30.0)
+    assert load.pressure < 0.8
