--- a/primroseglade/stand_ins/mesh_backend.py
+++ b/primroseglade/stand_ins/mesh_backend.py
@@ -22,6 +22,7 @@
         slots: That it reports.
         work: Seconds of work of a request.
         born: Unix milliseconds of its start.
+        reached: ``IP:PORT`` that it reports, where that is not its own.
     """
 
     def __init__(
@@ -33,10 +34,11 @@
         slots: int = 20,
         work: float = 0.005,
         born: int = 1,
+        reached: str = "",
     ):
         self.instance = instance
         self.service = service
-        self.address = address
+        self.address = reached or address
         self.slots = slots
         self.work = work
         self.born = born
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,52 @@
+"""``python -m soak``: run seeds, print what broke, exit with 1 if anything did."""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import sys
+import tempfile
+
+from .run import Soak
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the command line."""
+    parser = argparse.ArgumentParser(prog="python -m soak")
+    parser.add_argument(
+        "--seed", type=int, action="append", help="may be given again; random if not"
+    )
+    parser.add_argument("--runs", type=int, default=1, help="random seeds to run")
+    parser.add_argument("--seconds", type=float, default=20.0, help="of faults")
+    parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--folder", help="where logs stay; a temporary one if not")
+    return parser
+
+
+def main() -> int:
+    """Run the seeds, one after the other."""
+    options = build_parser().parse_args()
+    seeds = options.seed or [random.randrange(10**6) for _ in range(options.runs)]
+    failed = 0
+    for seed in seeds:
+        folder = pathlib.Path(options.folder or tempfile.mkdtemp(prefix="soak-"))
+        folder.mkdir(exist_ok=True)
+        soak = Soak(seed, options.seconds, options.nodes, folder)
+        broken = asyncio.run(soak.run())
+        sent = len(soak.record.sent)
+        served = sum(sent.status == 200 for sent in soak.record.sent.values())
+        print(f"seed {seed}: {len(soak.faults)} faults, {served} of {sent} served")
+        for line in broken[:20]:
+            print(f"  BROKEN: {line}")
+        if broken:
+            failed += 1
+            print(f"  logs: {folder}")
+            for fault in soak.faults:
+                print(f"  {fault}")
+        sys.stdout.flush()
+    print(f"{len(seeds) - failed} seeds kept all promises, {failed} did not")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/backend.py
@@ -0,0 +1,82 @@
+"""``python -m soak.backend``: a backend server as a process, which tells what it ran.
+
+It writes one JSON line for each request that it begins to run; the soak reads them and
+knows what really ran, whatever callers were told.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import signal
+import sys
+import time
+
+from primroseglade.sidecar.http_messages import Reply, Request
+from primroseglade.stand_ins.mesh_backend import MeshBackend
+
+WORK_SECONDS = (0.005, 0.06)
+# After the acknowledgement of its leaving it serves on for so long, in seconds.
+LINGER_SECONDS = 2.5
+
+
+def tell(**fields: object) -> None:
+    """Write one line to the soak."""
+    sys.stdout.write(json.dumps({"at": time.monotonic()} | fields) + "\n")
+    sys.stdout.flush()
+
+
+class SoakBackend(MeshBackend):
+    """Tells of each run, and answers with the request's id in the body."""
+
+    async def _handle(self, request: Request) -> Reply:
+        headers = {name.decode().lower(): v.decode() for name, v in request.headers}
+        request_id = headers.get("x-primroseglade-request-id", "")
+        if headers.get("x-primroseglade-expected-instance") == self.instance:
+            tell(
+                ran=request_id,
+                instance=self.instance,
+                tenant=headers.get("x-primroseglade-tenant", ""),
+                key_seen="authorization" in headers,
+            )
+        self.work = random.uniform(*WORK_SECONDS)
+        reply = await super()._handle(request)
+        return Reply(reply.head, f"{request_id} {'x' * 2000} end".encode())
+
+
+async def serve(backend: SoakBackend) -> None:
+    """Serve until told to leave, then leave as the platform's backend servers do."""
+    leaving = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, leaving.set)
+    running = asyncio.create_task(backend.run())
+    await leaving.wait()
+    backend.state = "draining"
+    acknowledged = await backend.report() == 200
+    tell(draining=backend.instance, acknowledged=acknowledged)
+    await asyncio.sleep(LINGER_SECONDS)
+    await backend.leave()
+    running.cancel()
+
+
+def main() -> None:
+    """Run one backend server."""
+    parser = argparse.ArgumentParser()
+    for name in ("instance", "service", "address", "reached", "control"):
+        parser.add_argument(f"--{name}", required=True)
+    options = parser.parse_args()
+    asyncio.run(
+        serve(
+            SoakBackend(
+                options.instance,
+                options.service,
+                options.address,
+                options.control,
+                born=int(time.time() * 1000),
+                reached=options.reached,
+            )
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
