--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -21,6 +21,9 @@
 
 # What refusals say at the least, in seconds.
 LEAST_RETRY_SECONDS = 0.05
+# A configuration reaches all nodes within this time, but for those that are cut off;
+# users allow two seconds.
+SETTLED_SECONDS = 1.5
 # A request with this little time left cannot be answered any more.
 LEAST_REMAINING_SECONDS = 0.002
 # Seconds that a request may take where its caller does not say.
@@ -228,7 +231,9 @@
             raise not_run(Reason.CONFIGURATION_STALE, detail, 0.5)
 
     def _charge(self, tenant: Tenant, remaining: float) -> None:
-        if not self._quotas.take(tenant, len(self._fleet), time.monotonic()):
+        now = time.monotonic()
+        settled = now - self._policies.in_force_since > SETTLED_SECONDS
+        if not self._quotas.take(tenant, len(self._fleet), now, settled):
             detail = f"{tenant.name} is over its rate"
             retry = spread_retry(remaining, self._rng)
             raise not_run(Reason.RATE_EXCEEDED, detail, retry)
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -102,6 +102,12 @@
         self.rate = rate
         self.burst = burst
 
+    def allows(self, other: "Tenant") -> bool:
+        """Whether these limits are higher than those of another version."""
+        if self.rate <= 0 or other.rate <= 0:
+            return self.rate <= 0 < other.rate
+        return self.rate > other.rate
+
 
 def rank_request(route: Route, tenant: Tenant | None) -> int:
     """Return a request's rank, 0 the most urgent.
--- a/primroseglade/sidecar/policy_keeper.py
+++ b/primroseglade/sidecar/policy_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from typing import Protocol
 
 from ..errors import InputError
@@ -97,6 +98,7 @@
         self._journal = journal
         self._freshness = Freshness()
         self._policy: Policy | None = None
+        self._in_force_since = 0.0
         self._record = b""
         self._next_offset: int | None = None
         self._routes = RouteTable([])
@@ -115,6 +117,11 @@
         """Its version, 0 before the first."""
         return self._policy.version if self._policy else 0
 
+    @property
+    def in_force_since(self) -> float:
+        """When it came into force here, on the loop's clock."""
+        return self._in_force_since
+
     @property
     def record(self) -> bytes:
         """As the store holds it."""
@@ -248,6 +255,7 @@
                 self._freshness.confirm(asked_at, age)
             return
         self._policy = policy
+        self._in_force_since = time.monotonic()
         self._record = record
         self._routes = RouteTable(policy.routes)
         self._freshness.confirm(asked_at, age)
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -87,6 +87,7 @@
         # Calls beyond their shares that the others may have let through and not told.
         self._unseen = 0.0
         self._told = Usage(0.0, 0)
+        self._limits: Tenant | None = None
         self.admitted = 0
 
     def get_demand(self, now: float) -> float:
@@ -130,14 +131,22 @@
         if self._others.pop(node, None) is not None:
             self._others_demand = sum(usage.demand for usage in self._others.values())
 
-    def take(self, tenant: Tenant, nodes: int, now: float) -> bool:
+    def take(
+        self, tenant: Tenant, nodes: int, now: float, settled: bool = True
+    ) -> bool:
         """Whether one more call may go; it is counted if so.
 
         Args:
             tenant: With its rate and burst in force.
             nodes: Nodes that are known, this one too.
             now: Seconds on the loop's clock.
+            settled: Whether all nodes have the configuration by now. Before, a lower
+                rate would be kept by some and not by others, and calls be refused
+                that were within the rate when they were sent.
         """
+        if not settled and self._limits is not None and self._limits.allows(tenant):
+            tenant = self._limits
+        self._limits = tenant
         if tenant.rate > 0:
             # Before this call counts as demand. Where calls are rare, a share that
             # includes the call at hand is several times the true one, and the sum over
@@ -206,9 +215,11 @@
         self._accounts: dict[str, Account] = {}
         self._heard_at: dict[str, float] = {}
 
-    def take(self, tenant: Tenant, nodes: int, now: float) -> bool:
+    def take(
+        self, tenant: Tenant, nodes: int, now: float, settled: bool = True
+    ) -> bool:
         """Whether one more call of a workspace may go; it is counted if so."""
-        return self._get(tenant.name, now).take(tenant, nodes, now)
+        return self._get(tenant.name, now).take(tenant, nodes, now, settled)
 
     def give_back(self, tenant: Tenant, now: float) -> None:
         """Take back one call that did not run after all."""
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -118,3 +118,34 @@
     taken = sum(quotas.take(tenant, 2, 0.2 + n * 0.1) for n in range(100))
     # All but the burst that the other had spent before.
     assert taken >= 100 - 1.5 * tenant.burst
+
+
+def test_a_lower_rate_holds_once_all_nodes_know_it():
+    """An operator lowered a rate. Nodes that heard of it first refused calls at once
+    which others still let through, and their callers were the only ones that lost.
+    """
+    quotas = Quotas(first_start=True)
+    before = Tenant("north", 1, 100.0, 100.0)
+    after = Tenant("north", 1, 1.0, 1.0)
+    assert quotas.take(before, 1, 0.0)
+    early = sum(quotas.take(after, 1, 0.1, settled=False) for _ in range(50))
+    late = sum(quotas.take(after, 1, 2.0, settled=True) for _ in range(50))
+    assert early == 50
+    assert late <= 2
+
+
+def test_a_higher_rate_holds_at_once():
+    """Nobody waits for what the operator has just granted."""
+    quotas = Quotas(first_start=True)
+    low = Tenant("north", 1, 1.0, 1.0)
+    high = Tenant("north", 1, 100.0, 100.0)
+    assert quotas.take(low, 1, 0.0)
+    assert not quotas.take(low, 1, 0.01)
+    later = [quotas.take(high, 1, 0.1 + n * 0.01, settled=False) for n in range(50)]
+    assert sum(later) >= 45
+
+
+def test_no_limit_is_the_highest():
+    """A rate of 0 means none, and is not the lowest of all."""
+    assert Tenant("n", 1, 0.0, 0.0).allows(Tenant("n", 1, 5.0, 5.0))
+    assert not Tenant("n", 1, 5.0, 5.0).allows(Tenant("n", 1, 0.0, 0.0))
