Reckon admission levels from demand and capacity; let the fleet use half of the allowance

Levels followed its queue, which is seen a second late. Ruled out: rates (92 lines of 7,000), keys, time-outs. Change: nodes tell what their callers ask of each service, and a level is what its backend servers get done over that, less what waits, with a slow correction.

--- a/primroseglade/platform/settings.py
+++ b/primroseglade/platform/settings.py
@@ -65,5 +65,7 @@
         retry_ratio=bounds.get_number("retry_budget_ratio", 0.2),
         retry_fixed=bounds.get_number("budget_min_retries", 50),
         retry_window=bounds.get_seconds("budget_window", 10.0),
+        quota_overshoot=bounds.get_number("quota_overshoot", 0.0),
+        quota_slack=bounds.get_number("quota_slack", 0.0),
     )
     return PlatformSettings(node, fields.get_object("platform").get_text("address"))
--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -1,8 +1,14 @@
 """Which requests of callers are refused at once while a service below is overloaded.
 
 A call that is refused deep in a graph throws away the work of all above it. So what
-cannot be served is refused where it enters, least urgent first, by how busy the
-scarcest service is that it leads to.
+cannot be served is refused where it enters, least urgent first, by how much of the
+demand the scarcest service can serve that it leads to.
+
+How much that is, is reckoned and not searched for: what backend servers get done, over
+the calls that all requests ask for, admitted or not. A queue tells of an overload only
+when requests have come down the whole graph, and the state is told: by then a second
+has passed. Levels that followed the queue alone swung between a third of the slots in
+use and five calls a slot.
 """
 
 import random
@@ -10,30 +16,34 @@
 
 from .retry_budget import SlidingCount
 
-# How often levels are set, in seconds: as often as heartbeats tell new loads.
+# How often levels are set, in seconds: twice for each state that is told.
 STEP_SECONDS = 0.25
-# Calls at work and waiting for each slot in use. Above the first, work piles up and
-# the level falls; below the second there is room and it rises. Between them a short
-# queue keeps the slots busy, and adds about half of the time of work to a call.
-TOO_BUSY = 1.5
-ROOM = 1.1
-# Part by which a level falls in a step for each call a slot too many, and the most.
-# Loads are half a second old: with larger steps a level falls far below what the
-# service can do before the first step shows, and callers are refused for nothing.
-FALL = 0.06
-MOST_FALL = 0.15
-# Part of the demand by which it rises in a step where there is room.
-RISE = 0.04
-# Where slots stand empty, load is in proportion to what is let through, and tells which
-# level would fill them. A quarter of the way to it is taken in a step: loads lag by two
-# or three steps, and with the whole way levels would swing. With the fixed rise alone a
-# service stood two thirds empty for seconds after an overload had ended.
+# Of what backend servers get done, what is let through: some calls are repeated, and a
+# service with no room at all makes each of them wait.
 FULL = 0.95
-FILL = 0.25
+# Calls at work and waiting for each slot. Above the first, more came than was reckoned
+# with; below the second, less.
+TOO_BUSY = 1.5
+ROOM = 0.95
+# What waits is worked off within so many seconds. It is seen after half a second, and
+# what is done about it shows after another: in less time the level would swing.
+DRAIN_SECONDS = 1.5
+# The reckoning is corrected by these parts a step: slowly against the second after
+# which a correction shows.
+TRIM_DOWN = 0.01
+TRIM_UP = 0.01
+# And by this where slots stand empty: after an overload that was worse than reckoned.
+EMPTY = 0.7
+TRIM_UP_EMPTY = 0.05
+LEAST_TRIM = 0.4
+MOST_TRIM = 1.5
+# While no calls wait, levels above this are taken for an error of the reckoning.
+SURE = 0.85
 # Some always pass, or nothing would show that there is room.
 LEAST_LEVEL = 0.05
-# Demand by rank is counted over this span, in seconds.
-DEMAND_SECONDS = 5.0
+# Demand is counted over this span, in seconds: a node sees some ten requests a second,
+# and a burst has to be seen before queues are full.
+DEMAND_SECONDS = 1.0
 # A service that one request in so many reaches is no reason to refuse it.
 LEAST_VISITS = 0.05
 
@@ -46,14 +56,21 @@
     by slots alone it had requests refused while four others stood half empty.
     """
 
-    __slots__ = ("_known", "_unknown")
+    __slots__ = ("_known", "_unknown", "waiting")
 
     def __init__(self) -> None:
+        #: Calls that wait for a slot.
+        self.waiting = 0.0
         # Of servers whose time of work is known: sums of pressure times weight, and of
         # weights; of the others, just as long as none is known.
         self._known = [0.0, 0.0]
         self._unknown = [0.0, 0.0]
 
+    @property
+    def capacity(self) -> float:
+        """Calls that it gets done in a second; 0 where that is not known."""
+        return self._known[1] * 1000
+
     @property
     def pressure(self) -> float:
         """Calls at work and waiting for each slot."""
@@ -68,6 +85,7 @@
             slots: Calls that it works on at once.
             service_ms: Usual milliseconds of work, 0 before the first call.
         """
+        self.waiting += max(0.0, occupied - slots)
         sums = self._known if service_ms else self._unknown
         sums[0] += occupied / (service_ms or 1.0)
         sums[1] += slots / (service_ms or 1.0)
@@ -88,6 +106,7 @@
     def __init__(self, rng: random.Random):
         self._rng = rng
         self._demand: dict[str, dict[int, SlidingCount]] = {}
+        self._trims: dict[str, float] = {}
         self._levels: dict[str, float] = {}
         self._passed: dict[str, dict[int, float]] = {}
 
@@ -113,14 +132,26 @@
                 count = ranks[rank] = SlidingCount(DEMAND_SECONDS)
             count.add(now, calls)
 
-    def update(self, loads: Mapping[str, Load], now: float) -> None:
-        """Set the levels anew, once a step."""
+    def describe_demand(self, now: float) -> dict[str, float]:
+        """Return calls a second that requests here lead to, by service."""
+        demand = {
+            service: sum(count.total(now) for count in ranks.values()) / DEMAND_SECONDS
+            for service, ranks in self._demand.items()
+        }
+        return {service: round(calls, 1) for service, calls in demand.items() if calls}
+
+    def update(
+        self, loads: Mapping[str, Load], demand: Mapping[str, float], now: float
+    ) -> None:
+        """Set the levels anew, once a step.
+
+        Args:
+            loads: How busy each service is.
+            demand: Calls a second that requests at all nodes lead to, by service.
+            now: Seconds on the loop's clock.
+        """
         for service, load in loads.items():
-            level = self._levels.get(service, 1.0)
-            if load.pressure > TOO_BUSY:
-                level *= 1.0 - min(MOST_FALL, FALL * (load.pressure - ROOM))
-            elif load.pressure < ROOM:
-                level += max(RISE, FILL * level * (FULL / max(load.pressure, 0.1) - 1))
+            level = self._reckon(service, load, demand.get(service, 0.0))
             if level >= 1.0:
                 self._levels.pop(service, None)
             else:
@@ -130,6 +161,25 @@
             for service, level in self._levels.items()
         }
 
+    def _reckon(self, service: str, load: Load, demand: float) -> float:
+        """Return the part of the demand that a service can serve."""
+        trim = self._trims.get(service, 1.0)
+        pressure = load.pressure
+        if pressure > TOO_BUSY:
+            trim *= 1.0 - TRIM_DOWN
+        elif pressure < ROOM and (trim < 1.0 or service in self._levels):
+            trim += TRIM_UP_EMPTY if pressure < EMPTY else TRIM_UP
+        elif service not in self._levels:
+            trim = min(trim, 1.0)
+        self._trims[service] = min(MOST_TRIM, max(LEAST_TRIM, trim))
+        if not load.capacity or not demand:
+            return 1.0
+        rate = self._trims[service] * FULL * load.capacity
+        level = (rate - load.waiting / DRAIN_SECONDS) / demand
+        if level > SURE and pressure < ROOM and service not in self._levels:
+            return 1.0
+        return level
+
     def admits(self, visits: Mapping[str, float], rank: int) -> bool:
         """Whether a request that leads to these services may go in.
 
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -137,6 +137,15 @@
             load.add(state.occupied, state.slots, state.service_ms)
         return loads
 
+    def sum_demand(self) -> dict[str, float]:
+        """Return what other nodes' callers ask of each service, in calls a second."""
+        demand: dict[str, float] = {}
+        for peer in self._peers.values():
+            if peer.connected:
+                for service, calls in peer.state.demand.items():
+                    demand[service] = demand.get(service, 0.0) + calls
+        return demand
+
     def _index(self) -> None:
         self._by_service = {}
         for peer in self._peers.values():
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -181,6 +181,8 @@
         slots: Calls that it works on at once.
         state: Whether it takes work.
         cold_remaining: Seconds for which it is still slow after its start.
+        demand: Calls a second that requests of its callers lead to, admitted or not,
+            by service.
         sequence: Grows with each report of one lifetime.
         born: Unix milliseconds of its start; 0 where it does not say.
     """
@@ -267,6 +269,7 @@
     usage: dict[str, Usage] = {}
     whole: bool = False
     sequence: int = 0
+    demand: dict[str, float] = {}
 
     def copy(self) -> "NodeState":
         """Return a state that can be added to."""
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -35,7 +35,7 @@
 from .peer import Peer
 from .peer_server import PeerServer
 from .policy_keeper import PolicyKeeper, StoreError
-from .quota import Quotas
+from .quota import Allowance, Quotas
 from .retry_budget import RetryBudget
 from .telling import Teller
 
@@ -53,6 +53,8 @@
 LONGEST_AGE_SECONDS = 1e6
 # How often peers are looked after, in seconds; a fifth of what a silent one may take.
 WATCH_SECONDS = 0.5
+# Nodes tell the calls of their backend servers every two seconds.
+GRAPH_SECONDS = 1.0
 # Levels change in steps; the log has them once a second while any is below its top.
 LEVELS_TOLD_SECONDS = 1.0
 
@@ -93,6 +95,7 @@
         self._levels_told = False
         self._levels_told_at = 0.0
         self._occupied_lately = 0.0
+        self._graph_built_at = 0.0
         self._entry = NodeEntry(
             settings.name,
             settings.peers,
@@ -117,7 +120,10 @@
             settings.first_start,
             self._tell_all,
         )
-        self.quotas = Quotas(settings.first_start)
+        self.quotas = Quotas(
+            settings.first_start,
+            Allowance(settings.quota_overshoot, settings.quota_slack),
+        )
         self.admission = Admission(self._rng)
         self.graph = CallGraph()
         self.meter = Meter()
@@ -360,6 +366,7 @@
             backend.service_ms,
             round(backend.failing, 3),
             self.policies.version,
+            demand=self.admission.describe_demand(time.monotonic()),
         )
 
     def _tell_all(self) -> None:
@@ -389,11 +396,17 @@
             if backend.instance:
                 own = loads.setdefault(self._settings.service, Load())
                 own.add(self._occupied_lately, backend.slots, backend.service_ms)
-            self.admission.update(loads, time.monotonic())
-            self._tell_levels(loads)
-            self._rebuild_graph()
-
-    def _tell_levels(self, loads: dict[str, Load]) -> None:
+            now = time.monotonic()
+            demand = self.fleet.sum_demand()
+            for service, calls in self.admission.describe_demand(now).items():
+                demand[service] = demand.get(service, 0.0) + calls
+            self.admission.update(loads, demand, now)
+            self._tell_levels(loads, demand)
+            if now - self._graph_built_at > GRAPH_SECONDS:
+                self._graph_built_at = now
+                self._rebuild_graph()
+
+    def _tell_levels(self, loads: dict[str, Load], demand: dict[str, float]) -> None:
         now = time.monotonic()
         levels = self.admission.levels
         if not levels and not self._levels_told:
@@ -406,6 +419,8 @@
             LEVELS_SET,
             levels={name: round(level, 2) for name, level in levels.items()},
             pressure={name: round(load.pressure, 2) for name, load in loads.items()},
+            capacity={name: round(load.capacity) for name, load in loads.items()},
+            demand={name: round(calls) for name, calls in demand.items()},
             calls=self.graph.get_visits("", self._settings.service),
         )
 
--- a/primroseglade/sidecar/node_settings.py
+++ b/primroseglade/sidecar/node_settings.py
@@ -21,6 +21,8 @@
         retry_ratio: Repeats for each first attempt, over the fleet.
         retry_fixed: Repeats in a window besides, over the fleet.
         retry_window: Seconds.
+        quota_overshoot: Part of a rate that the fleet may let through besides.
+        quota_slack: Calls in a window besides.
     """
 
     __slots__ = (
@@ -33,6 +35,8 @@
         "name",
         "outbound",
         "peers",
+        "quota_overshoot",
+        "quota_slack",
         "ready",
         "retry_fixed",
         "retry_ratio",
@@ -60,6 +64,8 @@
         retry_ratio: float,
         retry_fixed: float,
         retry_window: float,
+        quota_overshoot: float,
+        quota_slack: float,
     ):
         self.name = name
         self.zone = zone
@@ -77,3 +83,5 @@
         self.retry_ratio = retry_ratio
         self.retry_fixed = retry_fixed
         self.retry_window = retry_window
+        self.quota_overshoot = quota_overshoot
+        self.quota_slack = quota_slack
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -35,6 +35,38 @@
 SHARE_BURST_SECONDS = 0.5
 
 
+class Allowance:
+    """What the fleet may let through beyond a workspace's rate.
+
+    Operators allow something, since nodes cannot agree on each call. Half of it is left
+    for that; the other half goes to callers, who would be refused for nothing.
+
+    Args:
+        overshoot: Part of rate and burst.
+        slack: Calls in a window besides.
+    """
+
+    USED = 0.5
+
+    __slots__ = ("_part", "_slack")
+
+    def __init__(self, overshoot: float = 0.0, slack: float = 0.0):
+        self._part = 1.0 + overshoot * self.USED
+        self._slack = slack * self.USED
+
+    def widen(self, tenant: Tenant) -> Tenant:
+        """Return the limits to keep to.
+
+        >>> wide = Allowance(0.1, 20).widen(Tenant("north", 1, 100.0, 50.0))
+        >>> wide.rate, wide.burst
+        (105.0, 62.5)
+        """
+        if tenant.rate <= 0:
+            return tenant
+        burst = tenant.burst * self._part + self._slack
+        return Tenant(tenant.name, tenant.priority, tenant.rate * self._part, burst)
+
+
 class RemoteUsage:
     """What another node told of a workspace's calls.
 
@@ -71,9 +103,12 @@
         now: Seconds on the loop's clock.
         full: Whether a burst may be spent at once: not after a restart, since the
             tokens may have been spent just before it.
+        allowance: Beyond the rate.
     """
 
-    def __init__(self, now: float, full: bool):
+    def __init__(self, now: float, full: bool, allowance: Allowance):
+        self._allowance = allowance
+        self._tenant: Tenant | None = None
         self._demand = SlidingCount(DEMAND_SECONDS)
         self._since = now
         self._refilled_at = now
@@ -144,9 +179,7 @@
                 rate would be kept by some and not by others, and calls be refused
                 that were within the rate when they were sent.
         """
-        if not settled and self._limits is not None and self._limits.allows(tenant):
-            tenant = self._limits
-        self._limits = tenant
+        tenant = self._choose_limits(tenant, settled)
         if tenant.rate > 0:
             # Before this call counts as demand. Where calls are rare, a share that
             # includes the call at hand is several times the true one, and the sum over
@@ -170,6 +203,15 @@
         if self._fleet_tokens is not None and tenant.rate > 0:
             self._fleet_tokens += 1.0
 
+    def _choose_limits(self, tenant: Tenant, settled: bool) -> Tenant:
+        if tenant is not self._tenant or self._limits is None:
+            wide = self._allowance.widen(tenant)
+            if not settled and self._limits is not None and self._limits.allows(wide):
+                return self._limits
+            self._tenant = tenant
+            self._limits = wide
+        return self._limits
+
     def _refill(self, tenant: Tenant, nodes: int, now: float) -> None:
         span = now - self._refilled_at
         self._refilled_at = now
@@ -208,10 +250,12 @@
 
     Args:
         first_start: Whether the whole fleet starts for the first time.
+        allowance: Beyond the rates.
     """
 
-    def __init__(self, first_start: bool):
+    def __init__(self, first_start: bool, allowance: Allowance | None = None):
         self._full = first_start
+        self._allowance = allowance or Allowance()
         self._accounts: dict[str, Account] = {}
         self._heard_at: dict[str, float] = {}
 
@@ -272,5 +316,5 @@
     def _get(self, name: str, now: float) -> Account:
         account = self._accounts.get(name)
         if account is None:
-            account = self._accounts[name] = Account(now, self._full)
+            account = self._accounts[name] = Account(now, self._full, self._allowance)
         return account
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -108,6 +108,8 @@
         "retry_ratio": 0.2,
         "retry_fixed": 50,
         "retry_window": 10.0,
+        "quota_overshoot": 0.1,
+        "quota_slack": 20,
     }
     return NodeSettings(**(fields | changes))
 
