--- a/primroseglade/platform/__main__.py
+++ b/primroseglade/platform/__main__.py
@@ -6,11 +6,10 @@
 import signal
 import sys
 
-import uvloop
-
 from ..errors import PrimrosegladeError
 from ..observe.events import Journal, SETTINGS_CHANGED
 from ..observe.lines import LineHandler
+from ..sidecar.loop import build_loop
 from ..sidecar.node import SidecarNode
 from .dialect import PlatformDialect
 from .reports import build_control, build_ready
@@ -18,9 +17,6 @@
 from .store import StoreClient
 
 SETTINGS_VARIABLE = "PRIMROSEGLADE_SETTINGS"
-# The loop's C library tries io_uring for files unless it is told not to; instances
-# have none.
-IO_URING_VARIABLE = "UV_USE_IO_URING"
 # Objects made between two collections of the youngest: a request makes some hundred
 # and leaves no cycles, so that rarer collections cost nothing and pause less.
 COLLECT_AFTER = 50_000
@@ -57,8 +53,7 @@
     with handler.applicationbound():
         try:
             settings = load_settings(path)
-            os.environ[IO_URING_VARIABLE] = "0"
-            with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            with asyncio.Runner(loop_factory=build_loop) as runner:
                 runner.run(run(settings, path))
         except PrimrosegladeError as error:
             print(f"primroseglade: {error}", file=sys.stderr)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,9 +4,10 @@
 from collections.abc import AsyncIterator
 
 import pytest
-import uvloop
 from hypothesis import HealthCheck, settings
 
+from primroseglade.sidecar.loop import build_loop
+
 from .mesh import build_configuration, Mesh, PATHS, run_mesh
 
 settings.register_profile(
@@ -18,13 +19,21 @@
 settings.load_profile("fixed")
 
 
+class NodeLoopPolicy(asyncio.DefaultEventLoopPolicy):
+    """Makes the loop that the platform's node runs on."""
+
+    def new_event_loop(self) -> asyncio.AbstractEventLoop:
+        """Return a new one."""
+        return build_loop()
+
+
 @pytest.fixture(scope="module")
 def event_loop_policy(
     request: pytest.FixtureRequest,
 ) -> asyncio.AbstractEventLoopPolicy:
     """The loop of a file's tests: those of the platform's node run on its own."""
     if "mesh" in request.module.__name__:
-        return uvloop.EventLoopPolicy()
+        return NodeLoopPolicy()
     return asyncio.DefaultEventLoopPolicy()
 
 
