--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -34,9 +34,9 @@
 TRIM_UP = 0.01
 # And by this where slots stand empty: after an overload that was worse than reckoned.
 EMPTY = 0.7
-TRIM_UP_EMPTY = 0.05
+TRIM_UP_EMPTY = 0.08
 LEAST_TRIM = 0.4
-MOST_TRIM = 1.5
+MOST_TRIM = 4.0
 # While no calls wait, levels above this are taken for an error of the reckoning.
 SURE = 0.85
 # Some always pass, or nothing would show that there is room.
@@ -168,7 +168,7 @@
         if pressure > TOO_BUSY:
             trim *= 1.0 - TRIM_DOWN
         elif pressure < ROOM and (trim < 1.0 or service in self._levels):
-            trim += TRIM_UP_EMPTY if pressure < EMPTY else TRIM_UP
+            trim *= 1.0 + (TRIM_UP_EMPTY if pressure < EMPTY else TRIM_UP)
         elif service not in self._levels:
             trim = min(trim, 1.0)
         self._trims[service] = min(MOST_TRIM, max(LEAST_TRIM, trim))
--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -162,14 +162,18 @@
         if remaining < LEAST_REMAINING_SECONDS:
             raise not_run(Reason.OVERLOADED, "no time is left")
         service = self._policies.routes.choose_service(route)
+        if tenant is not None:
+            # First of all: what is over its rate is no demand for admission to weigh.
+            # A workspace at seven times its rate closed services to all others.
+            self._check_rate(tenant, remaining)
         if nested:
             self._own_calls.note_call(route.name, time.monotonic())
         else:
             self._admit(route, service, rank_request(route, tenant), remaining)
             self._budget.note_first(service, time.monotonic())
         if tenant is not None:
-            # Last of all checks: what is refused above costs no token.
-            self._charge(tenant, remaining)
+            # Last of all: what is refused above costs no token.
+            self._quotas.spend(tenant, time.monotonic())
         head = self._dialect.render_request(
             request, self._service, tenant.name if tenant is not None else ""
         )
@@ -230,10 +234,10 @@
             detail = f"the configuration may be out of date by {age:.1f} s"
             raise not_run(Reason.CONFIGURATION_STALE, detail, 0.5)
 
-    def _charge(self, tenant: Tenant, remaining: float) -> None:
+    def _check_rate(self, tenant: Tenant, remaining: float) -> None:
         now = time.monotonic()
         settled = now - self._policies.in_force_since > SETTLED_SECONDS
-        if not self._quotas.take(tenant, len(self._fleet), now, settled):
+        if not self._quotas.check(tenant, len(self._fleet), now, settled):
             detail = f"{tenant.name} is over its rate"
             retry = spread_retry(remaining, self._rng)
             raise not_run(Reason.RATE_EXCEEDED, detail, retry)
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -166,10 +166,10 @@
         if self._others.pop(node, None) is not None:
             self._others_demand = sum(usage.demand for usage in self._others.values())
 
-    def take(
+    def check(
         self, tenant: Tenant, nodes: int, now: float, settled: bool = True
     ) -> bool:
-        """Whether one more call may go; it is counted if so.
+        """Whether one more call may go; it counts as demand, but spends nothing yet.
 
         Args:
             tenant: With its rate and burst in force.
@@ -187,15 +187,16 @@
             self._refill(tenant, nodes, now)
         self._demand.add(now)
         if tenant.rate <= 0:
-            self.admitted += 1
             return True
         assert self._fleet_tokens is not None
-        if self._fleet_tokens - self._unseen < 1.0 and self._share_tokens < 1.0:
-            return False
-        self._fleet_tokens -= 1.0
-        self._share_tokens = max(0.0, self._share_tokens - 1.0)
+        return self._fleet_tokens - self._unseen >= 1.0 or self._share_tokens >= 1.0
+
+    def spend(self) -> None:
+        """Count a call that goes."""
         self.admitted += 1
-        return True
+        if self._fleet_tokens is not None:
+            self._fleet_tokens -= 1.0
+        self._share_tokens = max(0.0, self._share_tokens - 1.0)
 
     def give_back(self, tenant: Tenant) -> None:
         """Take back one call that did not run after all."""
@@ -263,7 +264,20 @@
         self, tenant: Tenant, nodes: int, now: float, settled: bool = True
     ) -> bool:
         """Whether one more call of a workspace may go; it is counted if so."""
-        return self._get(tenant.name, now).take(tenant, nodes, now, settled)
+        allowed = self.check(tenant, nodes, now, settled)
+        if allowed:
+            self.spend(tenant, now)
+        return allowed
+
+    def check(
+        self, tenant: Tenant, nodes: int, now: float, settled: bool = True
+    ) -> bool:
+        """Whether one more call of a workspace may go; nothing is spent yet."""
+        return self._get(tenant.name, now).check(tenant, nodes, now, settled)
+
+    def spend(self, tenant: Tenant, now: float) -> None:
+        """Count a call of a workspace that goes."""
+        self._get(tenant.name, now).spend()
 
     def give_back(self, tenant: Tenant, now: float) -> None:
         """Take back one call that did not run after all."""
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -257,3 +257,25 @@
 def test_free_addresses_differ():
     """The helper of these tests does not hand out one address twice in a row."""
     assert find_address() != find_address()
+
+
+async def test_what_is_over_its_rate_is_no_demand(mesh: Mesh):
+    """One workspace sent seven times its rate. Its refused calls counted as demand for
+    the services below, whose levels fell, and all other workspaces were refused while
+    those services stood half empty.
+    """
+    tenant = {
+        "name": "north",
+        "api_keys": ["key-1"],
+        "priority": 1,
+        "rate_per_s": 1,
+        "burst": 1,
+    }
+    mesh.store.publish(build_configuration(2, *PATHS, tenants=[tenant]))
+    await asyncio.sleep(2.0)
+    place = mesh.places[0]
+    answers = [await ask(place, "/deep/a", f"over-{n}") for n in range(60)]
+    refused = sum(answer.status == 429 for answer in answers)
+    assert refused > 30
+    demand = place.node.admission.describe_demand(asyncio.get_running_loop().time())
+    assert demand.get("deep", 0.0) <= len(answers) - refused
