Only the nodes that others ask wait in the store for configurations

One node in each zone waits and tells all at once; everybody else reads when nobody whom it asks has known better for 1.5 s.

--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -104,7 +104,7 @@
             int(time.time() * 1000),
         )
         self._supervisor = Supervisor("node", journal)
-        self.policies = PolicyKeeper(store, settings.revoke, journal)
+        self.policies = PolicyKeeper(store, settings.revoke, journal, self._tell_all)
         self.own_calls = OwnCalls()
         self.backend = Backend(
             settings.service, settings.backend, dialect, self.own_calls, journal
--- a/primroseglade/sidecar/policy_keeper.py
+++ b/primroseglade/sidecar/policy_keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 from ..errors import InputError
@@ -21,11 +22,12 @@
 
 # The first of the nodes that others ask reads when its own knowledge is this old, and
 # each further one a step later: about one short read a second for the fleet.
-READ_AGE_SECONDS = 1.0
-READ_STEP_SECONDS = 0.4
-# The rest read when nobody whom they ask knows better, and not all at once.
-LONE_READ_AGE_SECONDS = 2.6
-READ_SPREAD_SECONDS = 0.8
+READ_AGE_SECONDS = 0.6
+READ_STEP_SECONDS = 0.3
+# The rest read when nobody whom they ask knows better, and not all at once: before the
+# two seconds are over within which a configuration must be in force.
+LONE_READ_AGE_SECONDS = 1.5
+READ_SPREAD_SECONDS = 0.4
 # A node that hears nothing from peers asks the store itself, as often as this.
 CHECK_SECONDS = 0.2
 # How long a read waits in the store for news. Long waits cost few calls.
@@ -36,6 +38,8 @@
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
 PEER_TIMEOUT_SECONDS = 1.0
+# Where a version came from, if not from another node.
+STORE = "store"
 # Of the time within which a withdrawn key must stop working, what is used. The rest
 # is for a request's way here and for a pause of this process.
 USED_AGE = 0.9
@@ -85,6 +89,7 @@
         store: Where operators publish.
         revoke_seconds: Within which a withdrawn key must stop working.
         journal: Where changes are told.
+        tell_news: Tells the other nodes at once that the store had a newer version.
     """
 
     def __init__(
@@ -92,10 +97,12 @@
         store: PolicyStore,
         revoke_seconds: float,
         journal: Journal,
+        tell_news: Callable[[], None],
     ):
         self._store = store
         self._oldest = revoke_seconds * USED_AGE
         self._journal = journal
+        self._tell_news = tell_news
         self._freshness = Freshness()
         self._policy: Policy | None = None
         self._in_force_since = 0.0
@@ -105,6 +112,7 @@
         self._fetching = False
         self._lost = False
         self._rank: int | None = None
+        self._reads = asyncio.Event()
         self._read_age = self._draw_read_age()
 
     @property
@@ -148,9 +156,15 @@
         return self._freshness.age < self._oldest
 
     async def follow(self) -> None:
-        """Wait in the store for news, without end."""
+        """Wait in the store for news, without end.
+
+        Only the nodes whom others ask wait there: with 88 that all did, each version
+        cost 88 calls to the store, which are priced.
+        """
         delay = FIRST_RETRY_SECONDS
         while True:
+            if self._next_offset is not None and self._policy is not None:
+                await self._reads.wait()
             try:
                 await self._follow_once()
                 self._note_store(lost=False)
@@ -173,6 +187,9 @@
                     self._next_offset, 0.0, READ_TIMEOUT_SECONDS
                 )
             except StoreError as error:
+                # The position may be gone with the store's history.
+                self._next_offset = None
+                self._reads.set()
                 self._note_store(lost=True, error=str(error))
                 continue
             self._note_store(lost=False)
@@ -183,6 +200,10 @@
         if rank != self._rank:
             self._rank = rank
             self._read_age = self._draw_read_age()
+        if rank is None and self._next_offset is not None:
+            self._reads.clear()
+        else:
+            self._reads.set()
 
     def note_peer_age(self, version: int, age: float, asked_at: float) -> None:
         """Take in how old a peer's knowledge is, in answer to a question sent then."""
@@ -239,7 +260,7 @@
         if news is not None:
             self._next_offset = max(self._next_offset or 0, news.next_offset)
             if news.record is not None:
-                self._apply(news.record, asked_at, 0.0, "store")
+                self._apply(news.record, asked_at, 0.0, STORE)
                 return
         if self._policy is not None:
             self._freshness.confirm(asked_at)
@@ -266,6 +287,8 @@
             routes=len(policy.routes),
             keys=len(policy.tenants or ()),
         )
+        if source == STORE:
+            self._tell_news()
 
     def _note_store(self, lost: bool, error: str = "") -> None:
         if lost != self._lost:
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -202,3 +202,29 @@
     mesh.store.publish(build_configuration(7, *PATHS))
     await wait_until(lambda: cut.node.policies.version == 7)
     assert cut.node.policies.fresh
+
+
+async def test_a_version_costs_the_store_one_call_a_zone(mesh: Mesh):
+    """Every node waited in the store for news, and each version cost as many calls as
+    there were nodes; calls are priced. One waits, and tells the others at once.
+    """
+    await asyncio.sleep(1.5)
+    before = mesh.store.calls
+    mesh.store.publish(build_configuration(2, *PATHS))
+    await asyncio.sleep(0.4)
+    assert [place.node.policies.version for place in mesh.places] == [2, 2, 2]
+    # The reader's call ends and is made again; besides, it asks every 0.6 s.
+    assert mesh.store.calls - before <= 4
+
+
+async def test_a_version_arrives_though_the_reader_was_killed(mesh: Mesh):
+    """The one node that waits in the store is killed; the next version is in force at
+    the others within the two seconds that users allow.
+    """
+    await asyncio.sleep(1.0)
+    reader = min(mesh.places, key=lambda place: place.settings.name)
+    await reader.kill_node()
+    mesh.store.publish(build_configuration(2, *PATHS))
+    await asyncio.sleep(1.9)
+    others = [place for place in mesh.places if place is not reader]
+    assert [place.node.policies.version for place in others] == [2, 2]
