--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -9,6 +9,7 @@
 from ..verdicts import may_have_run, not_run, Reason, Refusal, Verdict
 from .admission import Admission
 from .call_graph import CallGraph
+from .deadlines import Deadlines
 from .dispatch import Dispatcher, Outcome, OutgoingCall, spread_retry
 from .fleet import Fleet
 from .http_messages import Reply, Request
@@ -78,6 +79,7 @@
         budget: Counts first attempts.
         fleet: For the number of nodes.
         dispatcher: Gets calls answered.
+        deadlines: Ends calls whose time is up.
         journal: Where decisions are told.
         meter: Counts outcomes.
         rng: Spreads times to come back.
@@ -95,6 +97,7 @@
         budget: RetryBudget,
         fleet: Fleet,
         dispatcher: Dispatcher,
+        deadlines: Deadlines,
         journal: Journal,
         meter: Meter,
         rng: random.Random,
@@ -109,6 +112,7 @@
         self._budget = budget
         self._fleet = fleet
         self._dispatcher = dispatcher
+        self._deadlines = deadlines
         self._journal = journal
         self._meter = meter
         self._rng = rng
@@ -187,10 +191,12 @@
             deadline,
             request.arrived + route.target_latency,
         )
+        timer = self._deadlines.start(deadline)
         try:
-            async with asyncio.timeout_at(deadline):
-                return await self._dispatcher.dispatch(call)
-        except TimeoutError as error:
+            return await self._dispatcher.dispatch(call)
+        except asyncio.CancelledError as error:
+            if not timer.is_reason():
+                raise
             detail = f"its time was up before {call.node or 'anybody'} answered"
             if not call.sent:
                 raise not_run(Reason.DEADLINE_EXCEEDED, detail) from error
@@ -202,6 +208,8 @@
                 left = deadline - time.monotonic()
                 refusal.retry_after = spread_retry(left, self._rng)
             raise
+        finally:
+            self._deadlines.end(timer)
 
     def _find_route(self, request: Request, fields: CallerFields) -> Route:
         policies = self._policies
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -18,6 +18,7 @@
 from .admission import Admission, Load, STEP_SECONDS
 from .backend import Backend, BackendDialect
 from .call_graph import CallGraph
+from .deadlines import Deadlines
 from .dispatch import Dispatcher
 from .entry import CallerDialect, Entry
 from .fleet import Fleet
@@ -139,6 +140,7 @@
             journal,
             self.meter,
         )
+        self._deadlines = Deadlines()
         self.entry_point = Entry(
             settings.service,
             dialect,
@@ -150,6 +152,7 @@
             self.budget,
             self.fleet,
             self.dispatcher,
+            self._deadlines,
             journal,
             self.meter,
             self._rng,
@@ -292,6 +295,7 @@
             ("policy", self.policies.follow),
             ("policy age", self.policies.confirm),
             ("introduction", self._introduce),
+            ("deadlines", self._deadlines.run),
             ("levels", self._set_levels),
             ("state", self._teller.run),
             ("relay", self._teller.run_relay),
--- /dev/null
+++ b/tests/test_deadlines.py
@@ -0,0 +1,68 @@
+"""Calls whose time is up, and calls that somebody else cancels."""
+
+import asyncio
+
+import pytest
+
+from primroseglade.sidecar.deadlines import Deadlines
+
+
+async def wait(deadlines: Deadlines, seconds: float, work: float) -> str:
+    """Work for some time under a deadline and return how it ended."""
+    deadline = deadlines.start(asyncio.get_running_loop().time() + seconds)
+    try:
+        await asyncio.sleep(work)
+    except asyncio.CancelledError:
+        if not deadline.is_reason():
+            raise
+        return "time is up"
+    finally:
+        deadlines.end(deadline)
+    return "done"
+
+
+@pytest.fixture
+async def deadlines():
+    """Deadlines that are looked at."""
+    deadlines = Deadlines()
+    running = asyncio.create_task(deadlines.run())
+    yield deadlines
+    running.cancel()
+
+
+async def test_a_call_ends_when_its_time_is_up(deadlines: Deadlines):
+    """It ends within a sweep of its time, and its task goes on."""
+    async with asyncio.timeout(1.0):
+        assert await wait(deadlines, 0.05, 5.0) == "time is up"
+        assert await wait(deadlines, 0.5, 0.01) == "done"
+    assert not asyncio.current_task().cancelling()
+
+
+async def test_a_caller_that_leaves_is_no_time_out(deadlines: Deadlines):
+    """A caller left in the moment in which its time was up. Its task must end as
+    cancelled, or it would write an answer to a connection that is gone.
+    """
+    task = asyncio.create_task(wait(deadlines, 0.01, 5.0))
+    await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.sleep(0.1)
+    assert task.cancelled()
+
+
+async def test_a_call_that_has_ended_is_left_alone(deadlines: Deadlines):
+    """The task serves the next request by then."""
+    assert await wait(deadlines, 0.03, 0.0) == "done"
+    await asyncio.sleep(0.1)
+    assert not asyncio.current_task().cancelling()
+
+
+async def test_both_at_once_end_as_cancelled(deadlines: Deadlines):
+    """The deadline passed and, before the task ran, its caller left too."""
+    task = asyncio.create_task(wait(deadlines, 5.0, 5.0))
+    await asyncio.sleep(0)
+    (deadline,) = deadlines._open
+    deadline.passed = True
+    task.cancel()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert task.cancelled()
