Take no reset for the end of an answer without length

Where data and a reset come in one turn of the loop, uvloop tells of an ordinary end. Shown on loopback: with the loop held up for 0.2 s the interpreter's loop reports the reset, uvloop the end. The socket is asked for its error at the end of such an answer. The test fails without.

--- a/primroseglade/sidecar/http_client.py
+++ b/primroseglade/sidecar/http_client.py
@@ -12,7 +12,7 @@
 import httptools
 
 from ..addresses import parse_address
-from ..sockets import set_dead_peer_options
+from ..sockets import set_dead_peer_options, was_reset
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -113,7 +113,13 @@
         """End an answer that has no length, and close."""
         if self._ends_with_connection and self._answer is not None:
             self._reusable = False
-            self._complete()
+            if self._transport is not None and was_reset(self._transport):
+                # Not whole: only the end of the connection tells its length, and the
+                # other end broke off.
+                detail = "the connection was reset within an answer"
+                self._fail(ExchangeError(detail, sent=True))
+            else:
+                self._complete()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/primroseglade/sockets.py
+++ b/primroseglade/sockets.py
@@ -26,3 +26,13 @@
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms),
     ):
         sock.setsockopt(level, option, value)
+
+
+def was_reset(transport: asyncio.Transport) -> bool:
+    """Whether the other end broke the connection off, to be asked at its end.
+
+    Where data and a reset come in one turn, uvloop tells of the data and then of an
+    ordinary end, without looking for the error. It is still to be had of the socket.
+    """
+    sock = transport.get_extra_info("socket")
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
--- /dev/null
+++ b/tests/test_mesh_resets.py
@@ -0,0 +1,67 @@
+"""Answers that have no length, and connections that are broken off within them."""
+
+import asyncio
+import socket
+import struct
+import threading
+import time
+
+import pytest
+
+from primroseglade.sidecar.http_client import ConnectionPool, ExchangeError
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+PARTIAL = b"HTTP/1.1 200 OK\r\nX-Kind: unframed\r\n\r\nhalf of it"
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
+
+class HalfServer:
+    """Answers one request without a length, and ends the connection."""
+
+    def __init__(self, reset: bool):
+        self._reset = reset
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen()
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Wait for its end."""
+        self._thread.join(5.0)
+        self._listener.close()
+
+    def _serve(self) -> None:
+        connection, _ = self._listener.accept()
+        connection.recv(1000)
+        connection.sendall(PARTIAL)
+        if self._reset:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        connection.close()
+
+
+@pytest.mark.parametrize("busy", [0.0, 0.2])
+async def test_a_reset_within_an_answer_without_length_is_no_answer(busy: float):
+    """A backend server crashed within an answer that ends with its connection. The
+    node was busy in that moment, found data and reset in one turn of its loop, and
+    handed half of an answer on as a whole one.
+    """
+    server = HalfServer(reset=True)
+    connection = await ConnectionPool(server.address, 1.0).acquire()
+    asyncio.get_running_loop().call_later(0.0, time.sleep, busy)
+    with pytest.raises(ExchangeError) as caught:
+        await connection.exchange(REQUEST)
+    assert caught.value.sent
+    server.close()
+
+
+@pytest.mark.parametrize("busy", [0.0, 0.2])
+async def test_an_answer_without_length_ends_with_its_connection(busy: float):
+    """An ordinary end makes it whole."""
+    server = HalfServer(reset=False)
+    connection = await ConnectionPool(server.address, 1.0).acquire()
+    asyncio.get_running_loop().call_later(0.0, time.sleep, busy)
+    answer = await connection.exchange(REQUEST)
+    assert answer.body == b"half of it"
+    server.close()
