Weigh a workspace's calls by its rate, also where none of them is let through

The hot workspace's calls were refused by admission and cost no token, so that all of them were within its rate. A workspace asks for one and a half times its rate at the most; the rest is refused as over its rate.

--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -245,7 +245,8 @@
     def _check_rate(self, tenant: Tenant, remaining: float) -> None:
         now = time.monotonic()
         settled = now - self._policies.in_force_since > SETTLED_SECONDS
-        if not self._quotas.check(tenant, len(self._fleet), now, settled):
+        within = self._quotas.check(tenant, len(self._fleet), now, settled)
+        if not within or self._rng.random() > self._quotas.weigh(tenant, now):
             detail = f"{tenant.name} is over its rate"
             retry = spread_retry(remaining, self._rng)
             raise not_run(Reason.RATE_EXCEEDED, detail, retry)
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -26,6 +26,11 @@
 # rate has made up for it. With a whole burst, a window of 5 s came to 7.2 s of the
 # rate where 6.8 are allowed (three nodes, five times the rate at once).
 MOST_DEBT = 0.3
+# Calls that a workspace may ask for, by its rate. Where a service is overloaded, calls
+# are refused without a token, and a workspace at seven times its rate would take seven
+# times its part of what is let through. Ordinary callers that come back once stay
+# below.
+MOST_ASKED = 1.5
 # So long ago, on average and a little more, others told what they let through. Where a
 # workspace asks several times its rate, that many calls of it are reckoned as spent:
 # without, ninety nodes spent each token of the fleet's bucket several times over.
@@ -191,6 +196,13 @@
         assert self._fleet_tokens is not None
         return self._fleet_tokens - self._unseen >= 1.0 or self._share_tokens >= 1.0
 
+    def weigh(self, tenant: Tenant, now: float) -> float:
+        """Return which part of its calls a workspace may ask for."""
+        asked = self.get_demand(now) + self._others_demand
+        if tenant.rate <= 0 or asked <= 0:
+            return 1.0
+        return min(1.0, tenant.rate * MOST_ASKED / asked)
+
     def spend(self) -> None:
         """Count a call that goes."""
         self.admitted += 1
@@ -275,6 +287,14 @@
         """Whether one more call of a workspace may go; nothing is spent yet."""
         return self._get(tenant.name, now).check(tenant, nodes, now, settled)
 
+    def weigh(self, tenant: Tenant, now: float) -> float:
+        """Return which part of its calls a workspace may ask for.
+
+        By that part of its calls it is demand; the rest is over its rate, whether or
+        not those that passed were let through in the end.
+        """
+        return self._get(tenant.name, now).weigh(tenant, now)
+
     def spend(self, tenant: Tenant, now: float) -> None:
         """Count a call of a workspace that goes."""
         self._get(tenant.name, now).spend()
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -160,3 +160,19 @@
     assert len(admitted) >= 0.98 * calls
     allowed = (100.0 * WINDOW_SECONDS + 100.0) * OVERSHOOT + SLACK
     assert find_worst_window(admitted) <= allowed
+
+
+def test_a_greedy_workspace_gets_no_more_of_an_overloaded_service():
+    """A service was overloaded, and one workspace sent seven times its rate. What was
+    refused cost it no token, so that all of its calls were within its rate and weighed
+    as demand: nine in ten calls of everybody else were refused.
+    """
+    quotas = Quotas(first_start=True)
+    tenant = Tenant("north", 1, 100.0, 100.0)
+    passed = 0.0
+    for number in range(7000):
+        # Admission refuses what passes here: nothing is spent.
+        now = number / 700
+        passed += quotas.check(tenant, 1, now) * quotas.weigh(tenant, now)
+    assert passed < 0.3 * 7000
+    assert passed > 100.0 * 10
