--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -21,11 +21,11 @@
 SMOOTHING = 1 / 32
 # Before the first answer, in seconds.
 FIRST_SERVICE_SECONDS = 0.03
-# Times the usual work after which a call without an answer holds its turn no longer. A
-# hundredth of calls takes up to five times the mean on the users' sheets. Answers that
+# Times the usual work after which a call without an answer holds its turn no longer.
+# Fewer than one in ten works for so long, and backend servers queue a few. Answers that
 # get lost leave their backend server free, but held turns until their callers' time was
 # up: with three in ten lost, a service did an eighth of what it could.
-HOLD_FACTOR = 4.0
+HOLD_FACTOR = 2.0
 # Calls of callers that wait for one that is at work, at the most. They are refused
 # early, while they may still be served elsewhere or come back in time.
 WAITING_A_SLOT = 3.0
