--- /dev/null
+++ b/primroseglade/sidecar/load_watch.py
@@ -0,0 +1,111 @@
+"""Looks at how busy services are, and sets what admission goes by."""
+
+import asyncio
+import time
+
+from ..observe.events import Journal, LEVELS_SET
+from .admission import Admission, Load, STEP_SECONDS
+from .backend import Backend
+from .call_graph import CallGraph
+from .fleet import Fleet
+from .own_calls import OwnCalls
+from .policy_keeper import PolicyKeeper
+
+# Nodes tell the calls of their backend servers every two seconds.
+GRAPH_SECONDS = 1.0
+# Levels change in steps; the log has them once a second while any is below its top.
+LEVELS_TOLD_SECONDS = 1.0
+
+
+class LoadWatch:
+    """Puts together what this node and the others know of load.
+
+    Args:
+        backend: The own backend server.
+        fleet: The other nodes.
+        admission: Gets loads and demand.
+        graph: Gets what backend servers call.
+        own_calls: What the own one calls.
+        policies: For the routes in force.
+        journal: Where levels are told.
+    """
+
+    def __init__(
+        self,
+        backend: Backend,
+        fleet: Fleet,
+        admission: Admission,
+        graph: CallGraph,
+        own_calls: OwnCalls,
+        policies: PolicyKeeper,
+        journal: Journal,
+    ):
+        self._backend = backend
+        self._fleet = fleet
+        self._admission = admission
+        self._graph = graph
+        self._own_calls = own_calls
+        self._policies = policies
+        self._journal = journal
+        self._levels_told = False
+        self._levels_told_at = 0.0
+        self._graph_built_at = 0.0
+        self.occupied_lately = 0.0
+
+    async def run(self) -> None:
+        """Look again and again."""
+        while True:
+            await asyncio.sleep(STEP_SECONDS)
+            now = time.monotonic()
+            loads = self._sum_loads()
+            demand = self._sum_demand(now)
+            self._admission.update(loads, demand, now)
+            self._tell_levels(loads, demand, now)
+            if now - self._graph_built_at > GRAPH_SECONDS:
+                self._graph_built_at = now
+                self._rebuild_graph(now)
+
+    def _sum_loads(self) -> dict[str, Load]:
+        backend = self._backend
+        self.occupied_lately = backend.queue.take_average()
+        loads = self._fleet.sum_loads()
+        if backend.instance:
+            own = loads.setdefault(backend.service, Load())
+            own.add(self.occupied_lately, backend.slots, backend.turn_ms)
+        return loads
+
+    def _sum_demand(self, now: float) -> dict[str, float]:
+        demand = self._fleet.sum_demand()
+        for service, calls in self._admission.describe_demand(now).items():
+            demand[service] = demand.get(service, 0.0) + calls
+        return demand
+
+    def _tell_levels(
+        self, loads: dict[str, Load], demand: dict[str, float], now: float
+    ) -> None:
+        levels = self._admission.levels
+        if not levels and not self._levels_told:
+            return
+        if now - self._levels_told_at < LEVELS_TOLD_SECONDS and levels:
+            return
+        self._levels_told_at = now
+        self._levels_told = bool(levels)
+        self._journal.emit(
+            LEVELS_SET,
+            levels={name: round(level, 2) for name, level in levels.items()},
+            pressure={name: round(load.pressure, 2) for name, load in loads.items()},
+            capacity={name: round(load.capacity) for name, load in loads.items()},
+            demand={name: round(calls) for name, calls in demand.items()},
+            calls=self._graph.get_visits("", self._backend.service),
+        )
+
+    def _rebuild_graph(self, now: float) -> None:
+        told = [
+            (peer.entry.service, peer.state.calls_below)
+            for peer in self._fleet
+            if peer.connected and peer.state.calls_below
+        ]
+        own = self._own_calls.describe(now)
+        if own:
+            told.append((self._backend.service, own))
+        self._graph.rebuild(told, self._policies.routes.by_name)
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -8,14 +8,13 @@
 
 from ..observe.events import (
     Journal,
-    LEVELS_SET,
     NODE_STARTED,
     NODE_STOPPED,
     NODE_STOPPING,
     STORE_WRITE_FAILED,
 )
 from ..supervisor import Supervisor
-from .admission import Admission, Load, STEP_SECONDS
+from .admission import Admission
 from .backend import Backend, BackendDialect
 from .call_graph import CallGraph
 from .deadlines import Deadlines
@@ -25,6 +24,7 @@
 from .frames import PolicyAnswer
 from .http_server import Handler, HttpServer
 from .leaves import Leaves
+from .load_watch import LoadWatch
 from .meter import build_metrics, Meter
 from .model import (
     NodeEntry,
@@ -54,10 +54,6 @@
 LONGEST_AGE_SECONDS = 1e6
 # How often peers are looked after, in seconds; a fifth of what a silent one may take.
 WATCH_SECONDS = 0.5
-# Nodes tell the calls of their backend servers every two seconds.
-GRAPH_SECONDS = 1.0
-# Levels change in steps; the log has them once a second while any is below its top.
-LEVELS_TOLD_SECONDS = 1.0
 
 
 class NodeDialect(CallerDialect, BackendDialect, Protocol):
@@ -93,10 +89,6 @@
         self._journal = journal
         self._rng = random.Random()
         self._stopping = False
-        self._levels_told = False
-        self._levels_told_at = 0.0
-        self._occupied_lately = 0.0
-        self._graph_built_at = 0.0
         self._entry = NodeEntry(
             settings.name,
             settings.peers,
@@ -140,6 +132,15 @@
             journal,
             self.meter,
         )
+        self._load_watch = LoadWatch(
+            self.backend,
+            self.fleet,
+            self.admission,
+            self.graph,
+            self.own_calls,
+            self.policies,
+            journal,
+        )
         self._deadlines = Deadlines()
         self.entry_point = Entry(
             settings.service,
@@ -296,7 +297,7 @@
             ("policy age", self.policies.confirm),
             ("introduction", self._introduce),
             ("deadlines", self._deadlines.run),
-            ("levels", self._set_levels),
+            ("load", self._load_watch.run),
             ("state", self._teller.run),
             ("relay", self._teller.run_relay),
             ("peers", self._watch_peers),
@@ -366,7 +367,7 @@
         return NodeState(
             backend.instance,
             backend.slots,
-            round(self._occupied_lately, 2),
+            round(self._load_watch.occupied_lately, 2),
             backend.service_ms,
             round(backend.failing, 3),
             self.policies.version,
@@ -391,52 +392,3 @@
                 peer = self.fleet.get(name)
                 if peer is not None:
                     peer.ask_policy_age()
-
-    async def _set_levels(self) -> None:
-        while True:
-            await asyncio.sleep(STEP_SECONDS)
-            self._occupied_lately = self.backend.queue.take_average()
-            loads = self.fleet.sum_loads()
-            backend = self.backend
-            if backend.instance:
-                own = loads.setdefault(self._settings.service, Load())
-                own.add(self._occupied_lately, backend.slots, backend.turn_ms)
-            now = time.monotonic()
-            demand = self.fleet.sum_demand()
-            for service, calls in self.admission.describe_demand(now).items():
-                demand[service] = demand.get(service, 0.0) + calls
-            self.admission.update(loads, demand, now)
-            self._tell_levels(loads, demand)
-            if now - self._graph_built_at > GRAPH_SECONDS:
-                self._graph_built_at = now
-                self._rebuild_graph()
-
-    def _tell_levels(self, loads: dict[str, Load], demand: dict[str, float]) -> None:
-        now = time.monotonic()
-        levels = self.admission.levels
-        if not levels and not self._levels_told:
-            return
-        if now - self._levels_told_at < LEVELS_TOLD_SECONDS and levels:
-            return
-        self._levels_told_at = now
-        self._levels_told = bool(levels)
-        self._journal.emit(
-            LEVELS_SET,
-            levels={name: round(level, 2) for name, level in levels.items()},
-            pressure={name: round(load.pressure, 2) for name, load in loads.items()},
-            capacity={name: round(load.capacity) for name, load in loads.items()},
-            demand={name: round(calls) for name, calls in demand.items()},
-            calls=self.graph.get_visits("", self._settings.service),
-        )
-
-    def _rebuild_graph(self) -> None:
-        now = time.monotonic()
-        told = [
-            (peer.entry.service, peer.state.calls_below)
-            for peer in self.fleet
-            if peer.connected and peer.state.calls_below
-        ]
-        own = self.own_calls.describe(now)
-        if own:
-            told.append((self._settings.service, own))
-        self.graph.rebuild(told, self.policies.routes.by_name)
