--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,6 +1,7 @@
 """A loopback proxy that delays, resets, silences or cuts connections one way."""
 
 import asyncio
+import contextlib
 import enum
 import socket
 import struct
@@ -67,7 +68,9 @@
         self._open.add(writer)
         there = asyncio.create_task(self._pump(reader, far_writer, writer, False))
         back = asyncio.create_task(self._pump(far_reader, writer, writer, True))
-        await asyncio.wait({there, back}, return_when=asyncio.FIRST_COMPLETED)
+        # Cancelled when the soak ends: asyncio would print each as an error.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.wait({there, back}, return_when=asyncio.FIRST_COMPLETED)
         there.cancel()
         back.cancel()
         self._open.discard(writer)
