--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 import asyncio
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 
@@ -26,6 +27,8 @@
 def main() -> int:
     """Run the seeds, one after the other."""
     options = build_parser().parse_args()
+    # As Ctrl-C: by default the processes that it started would outlive it.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     seeds = options.seed or [random.randrange(10**6) for _ in range(options.runs)]
     failed = 0
     for seed in seeds:
