--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -156,6 +156,21 @@
         self, request: Request, fields: CallerFields, route: Route
     ) -> Outcome:
         tenant = self._find_tenant(route, fields)
+        call = self._let_in(request, fields, route, tenant)
+        return await self._get_answered(call, tenant)
+
+    def _let_in(
+        self,
+        request: Request,
+        fields: CallerFields,
+        route: Route,
+        tenant: Tenant | None,
+    ) -> OutgoingCall:
+        """Return the call to send.
+
+        Raises:
+            Refusal: Over its rate, or what it leads to is overloaded; not run.
+        """
         # Callers and the backend server use the same address of this machine; but
         # only what the backend server calls is open to those without a key.
         nested = tenant is None and route.public
@@ -181,7 +196,7 @@
         head = self._dialect.render_request(
             request, self._service, tenant.name if tenant is not None else ""
         )
-        call = OutgoingCall(
+        return OutgoingCall(
             route,
             service,
             fields.request_id,
@@ -191,7 +206,10 @@
             deadline,
             request.arrived + route.target_latency,
         )
-        timer = self._deadlines.start(deadline)
+
+    async def _get_answered(self, call: OutgoingCall, tenant: Tenant | None) -> Outcome:
+        """Send a call, and end it when its time is up."""
+        timer = self._deadlines.start(call.deadline)
         try:
             return await self._dispatcher.dispatch(call)
         except asyncio.CancelledError as error:
@@ -205,7 +223,7 @@
             if refusal.verdict is Verdict.NOT_RUN and tenant is not None:
                 self._quotas.give_back(tenant, time.monotonic())
             if refusal.verdict is Verdict.NOT_RUN and refusal.retry_after is None:
-                left = deadline - time.monotonic()
+                left = call.deadline - time.monotonic()
                 refusal.retry_after = spread_retry(left, self._rng)
             raise
         finally:
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -51,9 +51,6 @@
     def entry(self) -> NodeEntry:
         """How this node is found."""
 
-    def build_state(self) -> NodeState:
-        """Return what this node tells of itself now."""
-
     def learn_drains(self, drains: dict[str, int]) -> None:
         """Take in which backend servers leave, as a peer remembers."""
 
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -2,24 +2,24 @@
 
 Each node reckons with one bucket of tokens for the fleet: filled at the workspace's
 rate, emptied by its own calls, by those that the others told of with their last
-heartbeats, and by what they will have let through since. While that bucket has
+states, and by what they will have let through since. While that bucket has
 tokens, any node may use them, whatever its share of the demand. When it is empty,
 each node lets through its share of the rate, and shares follow demand. They add up
-to one as long as views agree, and views differ only by what changed within a
-heartbeat. A node that the others cannot reach goes on with the share that it had,
+to one as long as views agree, and views differ only by what changed since states were
+told. A node that the others cannot reach goes on with the share that it had,
 and they go on reckoning with it for as long as it may.
 """
 
 from .model import Tenant, Usage
 from .retry_budget import SlidingCount
 
-# Demand is counted over this span: longer than two heartbeats, short against the
+# Demand is counted over this span: longer than two states are apart, short against the
 # window in which the rate must hold.
 DEMAND_SECONDS = 2.0
 # A node that was not heard of for so long is taken to spend nothing. Without peers
 # and store it may serve no keys any more by then.
 FORGET_SECONDS = 6.0
-# Calls that a node may take back between two heartbeats; a number that is smaller by
+# Calls that a node may take back between two states; a number that is smaller by
 # more shows a restart.
 GIVEN_BACK = 50
 # With this part of a burst let through too much, shares let nothing through until the
