Take nothing at a stop that must be cut off

Callers still came, as too few nodes of the zone were ready. From 0.45 of the grace on only requests are taken whose time is up before the end; others are refused as not run at once. The test fails without.

--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -1,6 +1,7 @@
 """What becomes of a request that a caller or the own backend server sends here."""
 
 import asyncio
+import math
 import random
 import time
 from typing import Protocol
@@ -25,6 +26,8 @@
 # A configuration reaches all nodes within this time, but for those that are cut off;
 # users allow two seconds.
 SETTLED_SECONDS = 1.5
+# When to come back to a node that stops: its process is started again after a second.
+RETRY_STOPPED_SECONDS = 1.0
 # A request with this little time left cannot be answered any more.
 LEAST_REMAINING_SECONDS = 0.002
 # Seconds that a request may take where its caller does not say.
@@ -116,6 +119,8 @@
         self._journal = journal
         self._meter = meter
         self._rng = rng
+        self._choosy_after = math.inf
+        self._end = math.inf
 
     async def handle(self, request: Request) -> Reply:
         """Answer one request."""
@@ -177,6 +182,7 @@
         seconds = fields.seconds if fields.seconds is not None else DEFAULT_SECONDS
         seconds = min(seconds, route.timeout)
         deadline = request.arrived + seconds
+        self._check_stop(request.arrived, deadline)
         remaining = deadline - time.monotonic()
         if remaining < LEAST_REMAINING_SECONDS:
             raise not_run(Reason.OVERLOADED, "no time is left")
@@ -229,6 +235,23 @@
         finally:
             self._deadlines.end(timer)
 
+    def stop(self, choosy_after: float, end: float) -> None:
+        """Get ready for this node's end.
+
+        Args:
+            choosy_after: From then on, on the loop's clock, only requests are taken
+                whose time is up before the end. Callers are gone by then, unless too
+                few other nodes are ready; what would be cut they had better ask again.
+            end: When this node ends.
+        """
+        self._choosy_after = choosy_after
+        self._end = end
+
+    def _check_stop(self, arrived: float, deadline: float) -> None:
+        if arrived > self._choosy_after and deadline > self._end:
+            detail = "this node stops before the request must have ended"
+            raise not_run(Reason.DRAINING, detail, RETRY_STOPPED_SECONDS)
+
     def _find_route(self, request: Request, fields: CallerFields) -> Route:
         policies = self._policies
         if policies.policy is None:
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -45,6 +45,10 @@
 # Callers are told of a stop by two readiness checks, a second apart; some more come
 # on connections that were being opened.
 LAME_DUCK_SECONDS = 3.2
+# Part of the grace after which callers that still come are served only if they must be
+# answered before the end: of six seconds the first 2.7. Users excuse what is cut off
+# of the first three only.
+CHOOSY_PART = 0.45
 IDLE_POLL_SECONDS = 0.05
 # Kept of the time that the platform gives, for the end of the process itself. With
 # 0.7 s three of some dozen processes on starved machines were killed before they had
@@ -325,6 +329,8 @@
         self._outbound.ask_to_close()
         latest = started + self._settings.grace - STOP_MARGIN_SECONDS
         earliest = min(started + LAME_DUCK_SECONDS, latest)
+        choosy_after = started + CHOOSY_PART * self._settings.grace
+        self.entry_point.stop(choosy_after, latest)
         while time.monotonic() < latest:
             if time.monotonic() >= earliest and not self._count_busy():
                 break
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -228,3 +228,25 @@
     await asyncio.sleep(1.9)
     others = [place for place in mesh.places if place is not reader]
     assert [place.node.policies.version for place in others] == [2, 2]
+
+
+async def test_a_stopping_node_takes_nothing_that_it_cannot_see_through(mesh: Mesh):
+    """A node was told to stop and callers still came, as few other nodes of their zone
+    were ready. A request that came in the second half of its time waited at a busy
+    backend server, was at work when the node ended, and its caller got 502 after two
+    seconds. It is refused as not run when it comes; what must end in time is served.
+    """
+    stopping = mesh.places[0]
+    for place in mesh.places[1:]:
+        place.backend.work = 0.3
+    stopping.stopping.set()
+    # Grace is 2 s here, of which some is kept for the end.
+    await asyncio.sleep(0.95)
+    loop = asyncio.get_running_loop()
+    keep_busy = asyncio.create_task(ask(stopping, "/deep/a", "kept", remaining_ms=150))
+    started = loop.time()
+    answer = await ask(stopping, "/deep/a", "late", remaining_ms=2000)
+    assert answer.status == 503
+    assert loop.time() - started < 0.1
+    assert not any("late" in place.backend.ran for place in mesh.places)
+    assert (await keep_busy).status != 503
