Heed a leave whatever other backend servers left

Found by reading, and shown by a test: peers tell what left elsewhere, and reports older than the newest of those counted as of an earlier life; such a report of a leave was acknowledged and not heeded. A leave that was overtaken by a later report was acknowledged and not heeded either. Both tests fail without.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -100,6 +100,9 @@
         self._journal = journal
         self._report: StatusReport | None = None
         self._left: dict[str, int] = {}
+        # Start of the newest lifetime that left here. Peers tell of backend servers
+        # that left elsewhere too, which say nothing of the one here.
+        self._newest_left = 0
         self._leaving = True
         self._stopping = False
         self._cold_until = 0.0
@@ -157,7 +160,7 @@
     def is_stale(self, report: StatusReport) -> bool:
         """Whether a report is of an earlier lifetime, or late in this one."""
         known = self._report
-        if report.born and report.born < max(self._left.values(), default=0):
+        if report.born and report.born < self._newest_left:
             return True
         if known is None:
             return False
@@ -210,6 +213,7 @@
                 self._journal.emit(BACKEND_DRAINING, backend=instance)
             if born == known.born:
                 self._leaving = True
+            self._newest_left = max(self._newest_left, born)
         self._left[instance] = born
 
     async def serve(self, call: Call, remaining: float) -> Served:
--- a/primroseglade/sidecar/leaves.py
+++ b/primroseglade/sidecar/leaves.py
@@ -86,11 +86,16 @@
         was = self._backend.instance
         if not was and not self._known:
             await self._ask_store()
-        if not self._backend.is_stale(report) and not self._backend.accept(report):
+        draining = report.state is BackendState.DRAINING
+        if self._backend.is_stale(report):
+            if draining:
+                # Overtaken by a later report; what is acknowledged below binds.
+                self._backend.leave(report.instance, report.born)
+        elif not self._backend.accept(report):
             return False
         if self._backend.instance != was:
             self._tell_state()
-        if report.state is BackendState.DRAINING:
+        if draining:
             return await self._keep(report.instance, report.born)
         return True
 
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -250,3 +250,27 @@
     assert loop.time() - started < 0.1
     assert not any("late" in place.backend.ran for place in mesh.places)
     assert (await keep_busy).status != 503
+
+
+async def test_others_that_left_do_not_hide_that_this_one_leaves(mesh: Mesh):
+    """A backend server that was told as leaving, and acknowledged, got requests for two
+    seconds more and on. Its node had heard from a peer of younger backend servers
+    elsewhere that had left, took all reports of an older one for those of an earlier
+    life, and acknowledged the leave without heeding it.
+    """
+    place = mesh.places[1]
+    place.node.learn_drains({"i-elsewhere": place.backend.born + 1000})
+    place.backend.state = "draining"
+    assert await place.backend.report() == 200
+    assert place.node.backend.instance == ""
+
+
+async def test_a_leave_counts_though_a_later_report_was_quicker(mesh: Mesh):
+    """The report of the leave was overtaken by one that was sent after it. It is
+    acknowledged, so that it binds.
+    """
+    place = mesh.places[1]
+    place.backend.state = "draining"
+    place.backend._sequence = 0
+    assert await place.backend.report() == 200
+    assert place.node.backend.instance == ""
