--- a/soak/run.py
+++ b/soak/run.py
@@ -13,7 +13,7 @@
 
 from .checks import find_broken, Ran, Record, Sent
 from .places import OUTBOUND, Place
-from .proxy import Fault
+from .proxy import Fault, Proxy
 from .schedule import draw_schedule, FaultAt
 
 STORE_PORT = 8546
@@ -236,6 +236,14 @@
     return register
 
 
+async def _harm(link: Proxy, fault: FaultAt) -> None:
+    """Do one of the harms to a link for a while."""
+    harms = [harm for harm in Fault if harm is not Fault.NONE]
+    link.set_fault(harms[fault.variant % len(harms)])
+    await asyncio.sleep(fault.seconds)
+    link.set_fault(Fault.NONE)
+
+
 @_fault("node-pause")
 async def _pause(soak: Soak, fault: FaultAt) -> None:
     await soak.get_place(fault).pause_node(fault.seconds)
@@ -263,18 +271,12 @@
 
 @_fault("backend-link")
 async def _harm_backend_link(soak: Soak, fault: FaultAt) -> None:
-    link = soak.get_place(fault).backend_link
-    link.set_fault(list(Fault)[1 + fault.variant % 4])
-    await asyncio.sleep(fault.seconds)
-    link.set_fault(Fault.NONE)
+    await _harm(soak.get_place(fault).backend_link, fault)
 
 
 @_fault("store-link")
 async def _harm_store_link(soak: Soak, fault: FaultAt) -> None:
-    link = soak.get_place(fault).store_link
-    link.set_fault(list(Fault)[1 + fault.variant % 4])
-    await asyncio.sleep(fault.seconds)
-    link.set_fault(Fault.NONE)
+    await _harm(soak.get_place(fault).store_link, fault)
 
 
 @_fault("store-down")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,15 +1,22 @@
 """Settings of all tests, and the mesh that several files use."""
 
 import asyncio
+import pathlib
+import tempfile
 from collections.abc import AsyncIterator
 
 import pytest
-from hypothesis import HealthCheck, settings
+from hypothesis import configuration, HealthCheck, settings
 
 from primroseglade.sidecar.loop import build_loop
 
 from .mesh import build_configuration, Mesh, PATHS, run_mesh
 
+# Outside the tree: the library's caches name the folder of the checkout, and whatever
+# copies the tree would take them along.
+configuration.set_hypothesis_home_dir(
+    pathlib.Path(tempfile.gettempdir()) / "primroseglade-hypothesis"
+)
 settings.register_profile(
     "fixed",
     derandomize=True,
