Answer callers that send further requests before the first is answered

Cause: requests of one connection were worked on one after the other, so that a caller who sends three ahead waited for their sum; and a node that stopped closed connections with requests unread on them, which resets them and may lose the answer just written. Change: look-ups of one connection are worked on at once, four at the most, and answered in order; what changes something waits for what was sent before. At a stop what is at work is answered, the last answer ends the connection, nothing is started behind it, and what still comes is read and dropped for a second. Tests: tests/test_mesh_pipelining.py, eleven of them, across refusal, stop, broken bytes and a caller that leaves midway.

--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -22,7 +22,7 @@
 from .entry import CallerDialect, Entry
 from .fleet import Fleet
 from .frames import PolicyAnswer
-from .http_server import Handler, HttpServer
+from .http_server import HttpServer
 from .leaves import Leaves
 from .load_watch import LoadWatch
 from .meter import build_metrics, Meter
@@ -38,6 +38,7 @@
 from .policy_keeper import PolicyKeeper, StoreError
 from .quota import Allowance, Quotas
 from .retry_budget import RetryBudget
+from .server_connection import Handler
 from .telling import Teller
 
 STORE_RETRY_SECONDS = 0.5
--- /dev/null
+++ b/primroseglade/sidecar/server_connection.py
@@ -0,0 +1,298 @@
+"""HTTP/1.1 on one connection of a caller: requests are read, answered, and timed."""
+
+import asyncio
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import httptools
+
+from .http_messages import RawHeaders, render_status_line, Reply, Request, WITHOUT_BODY
+from .model import CallerLimits
+from .pipeline import Exchange, Pipeline
+
+# Requests read ahead on one connection before reading pauses.
+READ_AHEAD = 8
+# Bytes that may wait unsent for a slow caller before its connection is not read.
+WRITE_HIGH_WATER = 256 * 1024
+# How long a body may take beyond what the operator allows for the head, in seconds.
+BODY_SECONDS = 30.0
+# How long what a caller still sends is read after the last answer, in seconds: several
+# round trips between zones.
+LINGER_SECONDS = 1.0
+
+Handler = Callable[[Request], Awaitable[Reply]]
+
+
+class Listener(Protocol):
+    """What a connection needs of the server that accepted it."""
+
+    @property
+    def stopping(self) -> bool:
+        """Whether connections end with their next answer."""
+
+    @property
+    def limits(self) -> CallerLimits:
+        """The bounds on callers in force."""
+
+    @property
+    def handler(self) -> Handler:
+        """Answers one request."""
+
+    def add(self, connection: "ServerConnection") -> None:
+        """Note an open connection."""
+
+    def discard(self, connection: "ServerConnection") -> None:
+        """Forget a closed connection."""
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    __slots__ = (
+        "_body",
+        "_chunk",
+        "_current",
+        "_headers",
+        "_lingering",
+        "_method",
+        "_parser",
+        "_peer",
+        "_pipeline",
+        "_server",
+        "_since",
+        "_size",
+        "_target",
+        "_too_large",
+        "_transport",
+    )
+
+    def __init__(self, server: Listener):
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._pipeline = Pipeline()
+        self._current = False
+        self._lingering = False
+        self._since = time.monotonic()
+        self._peer = ""
+        self._too_large = 0
+        self._chunk = 0
+        self._reset()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read or answered."""
+        return not self._lingering and (self._current or len(self._pipeline) > 0)
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Set the connection's options."""
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
+        peer = transport.get_extra_info("peername")
+        self._peer = peer[0] if peer else ""
+        self._server.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Give up what the caller no longer waits for."""
+        self._transport = None
+        self._server.discard(self)
+        self._pipeline.cancel()
+
+    def eof_received(self) -> bool:
+        """Treat a caller that stops sending as one that left."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        if self._too_large or self._lingering:
+            return
+        if not self.busy:
+            self._since = time.monotonic()
+        self._chunk = len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse_malformed(400)
+        except httptools.HttpParserError:
+            self._refuse_malformed(self._too_large or 400)
+            return
+        if self._current and not self._method:
+            self._size += len(data)
+            if self._size > self._server.limits.header_bytes:
+                self._refuse_malformed(431)
+
+    def on_message_begin(self) -> None:
+        """Parser callback."""
+        self._current = True
+        self._reset()
+
+    def on_url(self, url: bytes) -> None:
+        """Parser callback."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser callback."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Parser callback."""
+        if self._size + self._chunk > self._server.limits.header_bytes:
+            # Only then are the headers worth adding up: a body may be in the chunk.
+            self._check_head_size()
+        self._size = 0
+        self._method = self._parser.get_method()
+        for name, value in self._headers:
+            if len(name) == 6 and name.lower() == b"expect":
+                if value.lower() == b"100-continue":
+                    self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Parser callback."""
+        self._body.append(body)
+        self._size += len(body)
+        if self._size > self._server.limits.body_bytes:
+            self._too_large = 413
+            # Raised through the parser, which stops at it.
+            raise ValueError("larger than callers may send")
+
+    def on_message_complete(self) -> None:
+        """Parser callback."""
+        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        request = Request(
+            self._method,
+            self._target,
+            self._headers,
+            body,
+            self._parser.should_keep_alive(),
+            self._peer,
+            time.monotonic(),
+        )
+        self._current = False
+        self._body = []
+        if self._pipeline.ends:
+            # The caller itself said that nothing follows.
+            return
+        self._pipeline.add(request)
+        if len(self._pipeline) >= READ_AHEAD and self._transport is not None:
+            self._transport.pause_reading()
+        self._start()
+
+    def sweep(self, now: float) -> None:
+        """Close the connection if its caller took too long."""
+        limits = self._server.limits
+        if self._lingering:
+            if now - self._since > LINGER_SECONDS:
+                self.close()
+            return
+        if len(self._pipeline):
+            return
+        if self._current:
+            # A body may take longer than a head, but not without end.
+            longest = limits.head_timeout + (BODY_SECONDS if self._method else 0.0)
+            if now - self._since > longest:
+                self._refuse_malformed(408)
+        elif now - self._since > limits.idle_timeout:
+            self.close()
+
+    def close(self) -> None:
+        """Close when all answers are written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Cut it."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _reset(self) -> None:
+        self._target = b""
+        self._headers: RawHeaders = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._method = b""
+
+    def _check_head_size(self) -> None:
+        size = len(self._target)
+        size += sum(len(name) + len(value) + 4 for name, value in self._headers)
+        if size > self._server.limits.header_bytes:
+            self._too_large = 431
+            raise ValueError("larger than callers may send")
+
+    def _refuse_malformed(self, status: int) -> None:
+        """Answer bytes that are no acceptable request, and end the connection."""
+        self._too_large = status
+        if len(self._pipeline):
+            # What was asked before is answered first; no further request is read.
+            return
+        head = render_status_line(status)
+        self._write(head + b"Content-Length: 0\r\nConnection: close\r\n\r\n")
+        self._finish()
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def _start(self) -> None:
+        """Start the work on what may be worked on now."""
+        loop = asyncio.get_running_loop()
+        while exchange := self._pipeline.start_next(alone=self._server.stopping):
+            exchange.task = loop.create_task(self._work(exchange))
+
+    async def _work(self, exchange: Exchange) -> None:
+        try:
+            exchange.reply = await self._server.handler(exchange.request)
+        except Exception:
+            # The loop reports it; the caller must not wait for an answer.
+            self.abort()
+            raise
+        self._send_answered()
+
+    def _send_answered(self) -> None:
+        """Send the answers whose turn it is."""
+        while exchange := self._pipeline.take_answered():
+            self._since = time.monotonic()
+            assert exchange.reply is not None
+            if not self._send(exchange.request, exchange.reply):
+                self._finish()
+                return
+        if self._too_large and not len(self._pipeline):
+            self._finish()
+            return
+        self._start()
+        if len(self._pipeline) < READ_AHEAD and self._transport is not None:
+            self._transport.resume_reading()
+
+    def _send(self, request: Request, reply: Reply) -> bool:
+        """Write an answer and return whether the connection goes on."""
+        if not reply.framed:
+            self._write(reply.head + reply.body)
+            return not reply.close
+        stays = request.keep_alive and not reply.close
+        if self._server.stopping and not self._pipeline.started:
+            # What is at work behind this answer is answered before the end.
+            stays = False
+        connection = b"" if stays else b"Connection: close\r\n"
+        length = b""
+        if not reply.head.startswith(WITHOUT_BODY):
+            length = b"Content-Length: %d\r\n" % len(reply.body)
+        body = b"" if request.method == b"HEAD" else reply.body
+        self._write(b"".join((reply.head, length, connection, b"\r\n", body)))
+        return stays
+
+    def _finish(self) -> None:
+        """End the connection so that the caller can read the last answer.
+
+        Closed with bytes unread, a connection is reset, and the caller may lose the
+        answer: some send further requests ahead. So only sending ends here; what
+        still comes is read and dropped until the caller closes, or for a while.
+        """
+        self._pipeline.cancel()
+        self._lingering = True
+        self._since = time.monotonic()
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+            self._transport.write_eof()
--- /dev/null
+++ b/tests/test_mesh_pipelining.py
@@ -0,0 +1,251 @@
+"""Callers that send further requests before the first is answered."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+
+from primroseglade.addresses import parse_address
+from primroseglade.sidecar.http_messages import render_status_line, Reply, Request
+from primroseglade.sidecar.http_server import HttpServer
+from primroseglade.sidecar.pipeline import AT_ONCE, Pipeline
+
+from .mesh import ask, find_address, Mesh
+
+
+class Handler:
+    """Answers each request when the test says so, with its path."""
+
+    def __init__(self) -> None:
+        self.started: list[bytes] = []
+        self.cancelled: list[bytes] = []
+        self.gates: dict[bytes, asyncio.Event] = {}
+
+    async def __call__(self, request: Request) -> Reply:
+        self.started.append(request.target)
+        try:
+            await self.gates.setdefault(request.target, asyncio.Event()).wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request.target)
+            raise
+        status = 503 if b"refused" in request.target else 200
+        return Reply(render_status_line(status), request.target)
+
+    def open(self, *targets: bytes) -> None:
+        """Let requests be answered."""
+        for target in targets:
+            self.gates.setdefault(target, asyncio.Event()).set()
+
+
+class Caller:
+    """One connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self.reader = reader
+        self.writer = writer
+
+    def send(self, *targets: bytes, method: bytes = b"GET") -> None:
+        """Send requests without waiting for answers."""
+        head = b"%b %b HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+        self.writer.write(b"".join(head % (method, target) for target in targets))
+
+    async def read(self) -> tuple[int, bytes, bool]:
+        """Return an answer's status, its body, and whether it ends the connection."""
+        async with asyncio.timeout(2):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r")[0])
+            body = await self.reader.readexactly(length)
+        return int(head.split()[1]), body, b"Connection: close" in head
+
+
+class Bench:
+    """A server and what calls it."""
+
+    def __init__(self, server: HttpServer, handler: Handler, address: str):
+        self.server = server
+        self.handler = handler
+        self.address = address
+
+    async def call(self) -> Caller:
+        """Open a connection."""
+        return Caller(*await asyncio.open_connection(*parse_address(self.address)))
+
+
+@contextlib.asynccontextmanager
+async def run_server() -> AsyncIterator[Bench]:
+    """Run a server whose answers a test lets go."""
+    handler = Handler()
+    address = find_address()
+    server = HttpServer(address, handler)
+    task = asyncio.create_task(server.run())
+    await asyncio.sleep(0.05)
+    try:
+        yield Bench(server, handler, address)
+    finally:
+        task.cancel()
+        server.abort()
+
+
+async def wait_until(condition: object) -> None:
+    """Wait until a function returns something true."""
+    assert callable(condition)
+    async with asyncio.timeout(2):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def test_answers_go_back_in_the_order_of_the_requests():
+    """A caller read the second page in place of the first: both were worked on at
+    once, and the second was ready earlier.
+    """
+    async with run_server() as bench:
+        caller = await bench.call()
+        caller.send(b"/a", b"/b-refused", b"/c")
+        await wait_until(lambda: len(bench.handler.started) == 3)
+        bench.handler.open(b"/c", b"/b-refused")
+        await asyncio.sleep(0.05)
+        bench.handler.open(b"/a")
+        assert await caller.read() == (200, b"/a", False)
+        assert await caller.read() == (503, b"/b-refused", False)
+        assert await caller.read() == (200, b"/c", False)
+
+
+async def test_what_changes_something_waits_for_what_was_sent_before():
+    """A booking that was sent behind a look-up ran first, and changed what that saw."""
+    async with run_server() as bench:
+        caller = await bench.call()
+        caller.send(b"/look")
+        caller.send(b"/book", method=b"POST")
+        caller.send(b"/after")
+        await asyncio.sleep(0.05)
+        assert bench.handler.started == [b"/look"]
+        bench.handler.open(b"/look")
+        assert (await caller.read())[1] == b"/look"
+        await wait_until(lambda: bench.handler.started == [b"/look", b"/book"])
+        bench.handler.open(b"/book", b"/after")
+        assert (await caller.read())[1] == b"/book"
+        assert (await caller.read())[1] == b"/after"
+
+
+async def test_a_stop_answers_what_is_at_work_and_starts_nothing_behind_it():
+    """A node was stopped while a caller had three requests on one connection. Two were
+    at work: the first answer ended the connection, and the caller saw the second one
+    cut off. The third may not be started, as the caller sends it again elsewhere.
+    """
+    async with run_server() as bench:
+        caller = await bench.call()
+        caller.send(b"/a", b"/b")
+        await wait_until(lambda: len(bench.handler.started) == 2)
+        bench.server.ask_to_close()
+        caller.send(b"/late")
+        await asyncio.sleep(0.05)
+        bench.handler.open(b"/a", b"/b", b"/late")
+        assert await caller.read() == (200, b"/a", False)
+        assert await caller.read() == (200, b"/b", True)
+        assert await caller.reader.read() == b""
+        assert bench.handler.started == [b"/a", b"/b"]
+
+
+async def test_the_last_answer_is_not_lost_with_what_was_sent_behind_it():
+    """A node that stopped closed connections with requests unread on them. Their
+    callers saw a reset and not the answer that had been written just before.
+    """
+    async with run_server() as bench:
+        caller = await bench.call()
+        caller.send(b"/a")
+        await wait_until(lambda: bench.handler.started)
+        bench.server.ask_to_close()
+        bench.handler.open(b"/a")
+        for number in range(200):
+            caller.send(b"/behind-%d" % number)
+        await asyncio.sleep(0.2)
+        assert await caller.read() == (200, b"/a", True)
+        assert bench.handler.started == [b"/a"]
+        assert not bench.server.busy
+
+
+async def test_all_work_ends_when_the_caller_leaves_midway():
+    """Backend servers went on working for a caller that had left: only the first of
+    its requests was cancelled.
+    """
+    async with run_server() as bench:
+        caller = await bench.call()
+        caller.send(b"/a", b"/b")
+        await wait_until(lambda: len(bench.handler.started) == 2)
+        caller.writer.transport.abort()
+        await wait_until(lambda: sorted(bench.handler.cancelled) == [b"/a", b"/b"])
+
+
+async def test_no_connection_takes_the_place_of_many():
+    """One caller that sent a hundred requests ahead had them all worked on at once."""
+    async with run_server() as bench:
+        caller = await bench.call()
+        targets = [b"/%d" % number for number in range(3 * AT_ONCE)]
+        caller.send(*targets)
+        await asyncio.sleep(0.05)
+        assert bench.handler.started == targets[:AT_ONCE]
+        bench.handler.open(*targets)
+        assert [(await caller.read())[1] for _ in targets] == targets
+
+
+async def test_bytes_that_are_no_request_end_the_connection_after_the_answers():
+    """What was asked before is answered; nothing is read behind broken bytes."""
+    async with run_server() as bench:
+        caller = await bench.call()
+        caller.send(b"/a")
+        await wait_until(lambda: bench.handler.started)
+        caller.writer.write(b"\x00\x01 nonsense\r\n\r\n")
+        caller.send(b"/b")
+        await asyncio.sleep(0.05)
+        bench.handler.open(b"/a")
+        assert (await caller.read())[:2] == (200, b"/a")
+        assert await caller.reader.read() == b""
+        assert bench.handler.started == [b"/a"]
+
+
+async def test_a_node_that_stops_answers_pipelined_calls(mesh: Mesh):
+    """The same through a whole node: what it passed on is answered across its stop."""
+    for place in mesh.places[1:]:
+        place.backend.work = 0.3
+    front = mesh.places[0]
+    reader, writer = await asyncio.open_connection(
+        *parse_address(front.settings.outbound)
+    )
+    caller = Caller(reader, writer)
+    for number in range(2):
+        writer.write(
+            b"GET /deep/%d HTTP/1.1\r\nHost: api.example\r\n"
+            b"X-Primroseglade-Request-Id: p%d\r\nX-Primroseglade-Deadline-Ms: 2000\r\n"
+            b"Authorization: Token key-1\r\n\r\n" % (number, number)
+        )
+    await asyncio.sleep(0.15)
+    front.stopping.set()
+    first, second = await caller.read(), await caller.read()
+    assert (first[0], first[2]) == (200, False)
+    assert (second[0], second[2]) == (200, True)
+
+
+async def test_a_request_after_another_on_one_connection_is_still_served(mesh: Mesh):
+    """One after the other, as most callers do."""
+    for number in range(3):
+        answer = await ask(mesh.places[0], "/deep/a", f"one-{number}")
+        assert answer.status == 200
+
+
+def build_request(method: bytes = b"GET", keep_alive: bool = True) -> Request:
+    """Return a request that nobody sent."""
+    return Request(method, b"/", [], b"", keep_alive, "", 0.0)
+
+
+@pytest.mark.parametrize("alone", [True, False])
+def test_nothing_joins_where_the_connection_is_to_end(alone: bool):
+    """Of two look-ups the second is started beside the first, unless it would be
+    thrown away with the connection.
+    """
+    pipeline = Pipeline()
+    pipeline.add(build_request())
+    pipeline.add(build_request())
+    assert pipeline.start_next(alone) is not None
+    assert (pipeline.start_next(alone) is None) == alone
+    assert pipeline.started == (1 if alone else 2)
