Price a call to another zone by the bytes both ways; explore near first

Change: 10 ms a kilobyte of call and learnt answer in place of 1 ms a kilobyte of the call; of the fiftieth of calls that explore, one in ten looks at other zones.

--- a/primroseglade/sidecar/choice.py
+++ b/primroseglade/sidecar/choice.py
@@ -9,8 +9,9 @@
 # target, not even for several calls one after the other.
 OTHER_ZONE_MS = 2.0
 OTHER_ZONE_PART = 0.1
-# And for each kilobyte of its body: large bodies stay near unless that is far worse.
-OTHER_ZONE_MS_A_KILOBYTE = 1.0
+# And for each kilobyte, of the call and of its answer: where a zone is short of backend
+# servers, its small calls go elsewhere and make room for the large ones.
+OTHER_ZONE_MS_A_KILOBYTE = 10.0
 # A failed call costs its caller about as much as so many calls' time.
 FAILURE_FACTOR = 6.0
 # Nodes with the same view would all choose the same place: each sees the others'
@@ -56,17 +57,20 @@
 # or failed for a while gets no others, and would never be seen to have recovered.
 EXPLORED = 0.02
 ROOM_TO_EXPLORE = 0.7
+# Of these calls, so many look at other zones too: those who are near explore first, and
+# others hear of it.
+EXPLORED_FAR = 0.1
 
 
-def price_other_zone(target: float, body_bytes: int) -> float:
+def price_other_zone(target: float, size: float) -> float:
     """Return by how many milliseconds another availability zone has to be better.
 
     Args:
         target: Seconds within which the answer has its full use.
-        body_bytes: Size of the call's body.
+        size: Bytes of the call and of its answer.
     """
     price = OTHER_ZONE_MS + OTHER_ZONE_PART * target * 1000
-    return price + body_bytes / 1000 * OTHER_ZONE_MS_A_KILOBYTE
+    return price + size / 1000 * OTHER_ZONE_MS_A_KILOBYTE
 
 
 def estimate_cost(candidate: Candidate, other_zone_ms: float) -> float:
@@ -109,7 +113,7 @@
         near = [item for item in left if item.same_zone]
         left = near[:SAMPLE] + rng.sample(left, SAMPLE)
     if len(left) > 1 and rng.random() < EXPLORED:
-        roomy = [i for i in left if i.occupied < ROOM_TO_EXPLORE * i.slots]
+        roomy = _list_roomy(left, rng)
         if roomy:
             return rng.choice(roomy)
     best: Candidate | None = None
@@ -120,3 +124,12 @@
             best = item
             least = cost
     return best
+
+
+def _list_roomy(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
+    """Return whom to try although others seem better."""
+    roomy = [i for i in candidates if i.occupied < ROOM_TO_EXPLORE * i.slots]
+    near = [item for item in roomy if item.same_zone]
+    if near and rng.random() >= EXPLORED_FAR:
+        return near
+    return roomy
--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -6,6 +6,7 @@
 
 from ..observe.events import CALL_REPEATED, Journal
 from ..verdicts import not_run, Reason, Refusal, Verdict
+from .answer_sizes import AnswerSizes
 from .backend import Backend, BackendRefusal, Served
 from .call_graph import CallGraph
 from .choice import Candidate, price_other_zone
@@ -179,6 +180,7 @@
         self._graph = graph
         self._journal = journal
         self._meter = meter
+        self._answer_sizes = AnswerSizes()
 
     async def dispatch(self, call: OutgoingCall) -> Outcome:
         """Get a call answered.
@@ -227,6 +229,8 @@
         except Refusal as refusal:
             attempts.note_refusal(refusal)
             return None
+        size = len(outcome.head) + len(outcome.body)
+        self._answer_sizes.note(call.route.name, size)
         if outcome.status < FIRST_FAILURE or not call.route.idempotent:
             return outcome
         attempts.note_failure(outcome)
@@ -275,7 +279,9 @@
                 backend.service_ms,
                 backend.failing,
             )
-        price = price_other_zone(call.route.target_latency, len(call.body))
+        size = len(call.head) + len(call.body)
+        size += self._answer_sizes.expect(call.route.name)
+        price = price_other_zone(call.route.target_latency, size)
         return self._fleet.choose(call.service, own, tried, price)
 
     async def _send(self, call: OutgoingCall, candidate: Candidate) -> Outcome:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -7,10 +7,16 @@
 SLOTS = 25
 
 
-def share_far(near_occupied: float, near_ms: float, far_ms: float) -> float:
-    """Return which part of many look-ups goes to the other availability zone."""
+def share_far(
+    near_occupied: float,
+    near_ms: float,
+    far_ms: float,
+    size: float = 0.0,
+    target: float = 0.3,
+) -> float:
+    """Return which part of many calls goes to the other availability zone."""
     rng = random.Random(1)
-    price = price_other_zone(0.3, 0)
+    price = price_other_zone(target, size)
     far = 0
     for _ in range(1000):
         near = Candidate("near", True, SLOTS, near_occupied, near_ms, 0.0)
@@ -32,3 +38,36 @@
 def test_a_queue_at_home_sends_calls_away():
     """With two waiting for each slot the other zone serves sooner."""
     assert share_far(3 * SLOTS, near_ms=21.0, far_ms=9.4) > 0.95
+
+
+def test_a_slow_zone_keeps_its_large_answers_and_sends_small_ones_away():
+    """One zone's backend servers had little more than half of the others' speed, and
+    their room was used up. Payments with answers of six kilobytes went to other zones
+    as readily as look-ups of two hundred bytes, at thirty times the bytes for each
+    millisecond won; three in five of all payments crossed, most of them from zones with
+    room.
+    """
+    used = 0.3 * SLOTS
+    assert share_far(used, near_ms=105.0, far_ms=45.0, size=6500, target=0.2) < 0.05
+    waiting = 2.2 * SLOTS
+    small = share_far(waiting, near_ms=37.0, far_ms=16.0, size=500)
+    large = share_far(waiting, near_ms=37.0, far_ms=16.0, size=9000)
+    assert small > 0.9
+    assert large < 0.1
+
+
+def test_a_zone_that_is_far_explores_least():
+    """A fiftieth of all calls tries whoever has room. With one of three backend servers
+    near, most of those crossed to another zone, on the quietest days too.
+    """
+    rng = random.Random(2)
+    chosen = []
+    for _ in range(5000):
+        near = Candidate("near", True, SLOTS, 2.0, 20.0, 0.0)
+        failing = Candidate("failing", True, SLOTS, 2.0, 20.0, 1.0)
+        far = [Candidate(f"far-{n}", False, SLOTS, 2.0, 20.0, 0.0) for n in range(3)]
+        choice = choose([near, failing, *far], (), price_other_zone(0.3, 500), rng)
+        assert choice is not None
+        chosen.append(choice)
+    assert 0 < sum(not c.same_zone for c in chosen) < 0.004 * len(chosen)
+    assert sum(c.name == "failing" for c in chosen) > 0.005 * len(chosen)
