Pack frames on the streams between availability zones

Change: one raw deflate stream a connection for all but bodies, 2 KB window; plain frames within a zone, told by a bit of the length. Calls tell whole milliseconds.

--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -300,8 +300,9 @@
             instance,
             call.route.name,
             call.request_id,
-            remaining * 1000,
-            (call.target - time.monotonic()) * 1000,
+            # Whole milliseconds, which take three bytes and not nine.
+            int(remaining * 1000),
+            int((call.target - time.monotonic()) * 1000),
             call.route.idempotent,
             call.nested,
             call.head,
--- a/primroseglade/sidecar/frames.py
+++ b/primroseglade/sidecar/frames.py
@@ -10,10 +10,13 @@
 import msgspec
 
 from .model import NodeEntry, NodeState
+from .packing import Packer, PackingError, Unpacker
 
 LENGTH = struct.Struct(">I")
 # Larger than any body that callers may send, with its head.
 FRAME_BYTES = 80 * 1024 * 1024
+# Added to the length of a frame that is packed.
+PACKED = 1 << 31
 
 
 class Hello(msgspec.Struct, array_like=True, tag=1):
@@ -195,13 +198,26 @@
     return LENGTH.pack(len(payload)) + payload
 
 
+def pack_frame(frame: Frame, packer: Packer) -> bytes:
+    """Return a frame's bytes for a stream between availability zones."""
+    body = b""
+    if isinstance(frame, Call | CallAnswer):
+        body = frame.body
+        frame.body = b""
+    payload = packer.pack(_encoder.encode(frame), body)
+    if body:
+        frame.body = body  # type: ignore[union-attr]
+    return LENGTH.pack(len(payload) | PACKED) + payload
+
+
 class FrameReader:
     """Cuts a stream of bytes into frames."""
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_unpacker")
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._unpacker: Unpacker | None = None
 
     def feed(self, data: bytes) -> list[Frame]:
         """Return the frames that are whole by now.
@@ -210,7 +226,7 @@
             FrameError: The bytes are no frames of this protocol.
 
         >>> reader = FrameReader()
-        >>> data = encode_frame(Cancel(1)) + encode_frame(Cancel(2))
+        >>> data = encode_frame(Cancel(1)) + pack_frame(Cancel(2), Packer())
         >>> reader.feed(data[:5])
         []
         >>> reader.feed(data[5:])
@@ -222,17 +238,32 @@
         start = 0
         while len(buffer) - start >= LENGTH.size:
             (length,) = LENGTH.unpack_from(buffer, start)
+            packed = bool(length & PACKED)
+            length &= ~PACKED
             if length > FRAME_BYTES:
                 raise FrameError(f"a frame of {length} bytes")
             end = start + LENGTH.size + length
             if len(buffer) < end:
                 break
             payload = bytes(memoryview(buffer)[start + LENGTH.size : end])
-            try:
-                frames.append(_decoder.decode(payload))
-            except msgspec.MsgspecError as error:
-                raise FrameError(str(error)) from error
+            frames.append(self._decode(payload, packed))
             start = end
         if start:
             del buffer[:start]
         return frames
+
+    def _decode(self, payload: bytes, packed: bool) -> Frame:
+        try:
+            if not packed:
+                return _decoder.decode(payload)
+            if self._unpacker is None:
+                self._unpacker = Unpacker()
+            head, body = self._unpacker.unpack(payload)
+            frame = _decoder.decode(head)
+        except (msgspec.MsgspecError, PackingError) as error:
+            raise FrameError(str(error)) from error
+        if body:
+            if not isinstance(frame, Call | CallAnswer):
+                raise FrameError("a body of a frame that has none")
+            frame.body = body
+        return frame
--- /dev/null
+++ b/primroseglade/sidecar/packing.py
@@ -0,0 +1,77 @@
+"""Frames packed on the streams between availability zones, where bytes are dear.
+
+Heads of calls and answers repeat from frame to frame on a stream, and states repeat
+names: they take a quarter of their bytes where each frame is packed with what went
+before in mind. Bodies are sent as they are; callers that want them smaller compress
+them themselves.
+"""
+
+import struct
+import zlib
+
+LENGTH = struct.Struct(">I")
+# What went before is remembered for two kilobytes, some six heads, as raw deflate: it
+# takes 22 KB of memory at the sender and 9 KB at the receiver of each stream.
+WINDOW_BITS = -11
+MEMORY_LEVEL = 4
+LEVEL = 3
+# Ends each piece in the same way, and is not sent (RFC 7692, section 7.2.1).
+SYNC_MARK = b"\x00\x00\xff\xff"
+# The largest head of a frame that is unpacked: a configuration's, many times over.
+HEAD_BYTES = 16 * 1024 * 1024
+
+
+class PackingError(Exception):
+    """Bytes that cannot be unpacked."""
+
+
+class Packer:
+    """The sending end of a stream."""
+
+    __slots__ = ("_deflate",)
+
+    def __init__(self) -> None:
+        self._deflate = zlib.compressobj(
+            LEVEL, zlib.DEFLATED, WINDOW_BITS, MEMORY_LEVEL
+        )
+
+    def pack(self, head: bytes, body: bytes = b"") -> bytes:
+        """Return a frame's bytes, but for its length."""
+        packed = self._deflate.compress(head) + self._deflate.flush(zlib.Z_SYNC_FLUSH)
+        packed = packed[: -len(SYNC_MARK)]
+        return LENGTH.pack(len(packed)) + packed + body
+
+
+class Unpacker:
+    """The receiving end of a stream.
+
+    >>> packer, unpacker = Packer(), Unpacker()
+    >>> unpacker.unpack(packer.pack(b"head", b"body"))
+    (b'head', b'body')
+    """
+
+    __slots__ = ("_inflate",)
+
+    def __init__(self) -> None:
+        self._inflate = zlib.decompressobj(WINDOW_BITS)
+
+    def unpack(self, payload: bytes) -> tuple[bytes, bytes]:
+        """Return a frame's head and body.
+
+        Raises:
+            PackingError: The bytes are none of a packer's.
+        """
+        if len(payload) < LENGTH.size:
+            raise PackingError("a packed frame without a length")
+        (length,) = LENGTH.unpack_from(payload)
+        end = LENGTH.size + length
+        if end > len(payload):
+            raise PackingError("a packed frame that is cut short")
+        try:
+            packed = payload[LENGTH.size : end] + SYNC_MARK
+            head = self._inflate.decompress(packed, HEAD_BYTES)
+        except zlib.error as error:
+            raise PackingError(str(error)) from error
+        if self._inflate.unconsumed_tail or self._inflate.eof:
+            raise PackingError("a packed frame that is too large, or ends the stream")
+        return head, payload[end:]
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -244,6 +244,8 @@
                 lambda: FrameStream(self._receive, self._note_lost), host, port
             )
         self._stream = stream
+        if self.entry.zone != self._host.entry.zone:
+            stream.pack()
         stream.send(Hello(self._host.entry))
         self.ask_policy_age()
 
--- a/primroseglade/sidecar/peer_server.py
+++ b/primroseglade/sidecar/peer_server.py
@@ -103,12 +103,16 @@
         """Send a frame to the nodes that hold a stream to this one.
 
         Args:
-            frame: Encoded once for all of them.
+            frame: Encoded once for all of them in this node's zone.
             wanted: Tells which ones get it.
         """
         data = encode_frame(frame)
         for stream, entry in self._greeted.items():
-            if wanted(entry):
+            if not wanted(entry):
+                continue
+            if stream.packing:
+                stream.send(frame)
+            else:
                 stream.send_encoded(data)
 
     def finish(self) -> None:
@@ -135,6 +139,8 @@
             answer = self._host.build_policy_answer(frame.id)
             stream.send(Pong(frame.id, answer.version, answer.age_ms))
         elif isinstance(frame, Hello):
+            if frame.entry.zone != self._host.entry.zone:
+                stream.pack()
             state = self._host.build_state()
             stream.send(Hello(self._host.entry, state, self._host.drains))
             self._greeted[stream] = frame.entry
--- a/primroseglade/sidecar/streams.py
+++ b/primroseglade/sidecar/streams.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 
 from ..sockets import set_dead_peer_options
-from .frames import encode_frame, Frame, FrameError, FrameReader
+from .frames import encode_frame, Frame, FrameError, FrameReader, pack_frame
 from .http_client import KEEP_ALIVE_IDLE_SECONDS, UNACKNOWLEDGED_MS
+from .packing import Packer
 
 # Bytes that may wait unsent on a stream; a peer that does not read for as long as
 # they fill is cut off, so that it cannot take this process's memory.
@@ -27,6 +28,7 @@
     __slots__ = (
         "_broken",
         "_lost",
+        "_packer",
         "_reader",
         "_receive",
         "_transport",
@@ -43,6 +45,7 @@
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
         self._broken = ""
+        self._packer: Packer | None = None
         self.heard_at = time.monotonic()
 
     @property
@@ -77,9 +80,21 @@
         for frame in frames:
             self._receive(self, frame)
 
+    @property
+    def packing(self) -> bool:
+        """Whether frames are packed on this stream."""
+        return self._packer is not None
+
+    def pack(self) -> None:
+        """Pack what is sent from now on: the other end is in another zone."""
+        self._packer = Packer()
+
     def send(self, frame: Frame) -> None:
         """Send a frame; without effect once the connection is gone."""
-        self.send_encoded(encode_frame(frame))
+        if self._packer is not None:
+            self.send_encoded(pack_frame(frame, self._packer))
+        else:
+            self.send_encoded(encode_frame(frame))
 
     def send_encoded(self, data: bytes) -> None:
         """Send a frame that is encoded already, as for many streams at once."""
--- /dev/null
+++ b/tests/test_packing.py
@@ -0,0 +1,112 @@
+"""What goes over the border of an availability zone, and how many bytes it takes."""
+
+import os
+import random
+
+import pytest
+from hypothesis import given, strategies as st
+
+from primroseglade.sidecar.frames import (
+    Call,
+    CallAnswer,
+    Cancel,
+    encode_frame,
+    FrameError,
+    FrameReader,
+    LENGTH,
+    pack_frame,
+    PACKED,
+    State,
+)
+from primroseglade.sidecar.model import NodeState, Usage
+from primroseglade.sidecar.packing import Packer
+
+
+def build_call(number: int, body: bytes = b"") -> Call:
+    """Return a look-up as backend servers make it."""
+    request_id = os.urandom(8).hex().encode()
+    head = (
+        b"GET /timetable/%06x HTTP/1.1\r\nHost: api.example\r\n"
+        b"User-Agent: sdk/1.9.3\r\n"
+        b"Accept: */*\r\nAccept-Encoding: identity\r\nX-Request-Id: %b\r\n"
+        b"x-caller: desk\r\n"
+    ) % (number, request_id)
+    return Call(number, "i-1", "look", request_id, 640, 290, True, True, head, body)
+
+
+def build_state(rng: random.Random) -> State:
+    """Return what a node tells twice a second."""
+    names = [f"workspace-{number}" for number in range(8)]
+    usage = {name: Usage(rng.random() * 30, rng.randrange(9999)) for name in names}
+    state = NodeState("i-1", 28, rng.random() * 28, 21.3, usage=usage)
+    return State(state, False)
+
+
+def test_small_calls_between_zones_take_a_third_of_their_bytes():
+    """A zone without a backend server of the timetable sent a thousand look-ups a
+    second to another. Their heads were most of what crossed: the same words in each.
+    """
+    packer = Packer()
+    calls = [build_call(number) for number in range(200)]
+    plain = sum(len(encode_frame(call)) for call in calls)
+    packed = sum(len(pack_frame(call, packer)) for call in calls)
+    assert packed < plain / 3
+
+
+def test_states_between_zones_take_half_of_their_bytes():
+    """On a quiet day, what nodes tell each other is a quarter of all that crosses."""
+    rng = random.Random(1)
+    packer = Packer()
+    states = [build_state(rng) for _ in range(50)]
+    plain = sum(len(encode_frame(state)) for state in states)
+    packed = sum(len(pack_frame(state, packer)) for state in states)
+    assert packed < 0.6 * plain
+
+
+@given(
+    st.lists(
+        st.one_of(
+            st.builds(Cancel, st.integers(0, 2**40)),
+            st.builds(build_call, st.integers(0, 2**20), st.binary(max_size=3000)),
+            st.builds(
+                CallAnswer,
+                st.integers(0, 2**40),
+                st.integers(200, 599),
+                st.binary(max_size=300),
+                st.binary(max_size=3000),
+                st.booleans(),
+                st.integers(0, 99),
+            ),
+        ),
+        max_size=12,
+    ),
+    st.integers(1, 999),
+)
+def test_whatever_is_packed_comes_out_the_same(frames: list, size: int):
+    """Whole and in order, however the bytes are cut on the way."""
+    packer = Packer()
+    data = b"".join(pack_frame(frame, packer) for frame in frames)
+    reader = FrameReader()
+    read = []
+    for start in range(0, len(data), size):
+        read += reader.feed(data[start : start + size])
+    assert read == frames
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [b"", b"\x00\x00", b"\x00\x00\xff\x00abc", LENGTH.pack(3) + b"abc"],
+)
+def test_bytes_that_nobody_packed_end_the_stream(payload: bytes):
+    """A broken stream is told from a packed one, and not read any further."""
+    with pytest.raises(FrameError):
+        FrameReader().feed(LENGTH.pack(len(payload) | PACKED) + payload)
+
+
+def test_a_small_packed_frame_cannot_fill_the_memory():
+    """Some kilobytes may unpack to gigabytes; they end the stream, and not a node."""
+    packer = Packer()
+    frame = LENGTH.pack(0)
+    payload = packer.pack(frame + bytes(64 * 1024 * 1024))
+    with pytest.raises(FrameError):
+        FrameReader().feed(LENGTH.pack(len(payload) | PACKED) + payload)
