--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -253,6 +253,13 @@
     "Services named here are overloaded: requests that lead to them are refused at "
     "their entry, the least urgent first, down to the level told.",
 )
+ZONE_BYTES = _define(
+    506,
+    "info",
+    "bytes between zones",
+    "What this node sent to other availability zones since its start: kind of frame, "
+    "route and bytes, the most first.",
+)
 LINES_DROPPED = _define(
     590,
     "warning",
--- a/primroseglade/sidecar/meter.py
+++ b/primroseglade/sidecar/meter.py
@@ -98,6 +98,14 @@
         for route, latencies in self._latencies.items():
             seconds.add_metric([route], _cumulate(latencies), latencies.total)
         yield seconds
+        crossed = core.CounterMetricFamily(
+            PREFIX + "zone_bytes",
+            "Bytes sent to other availability zones.",
+            labels=["frame", "route"],
+        )
+        for frame, route, size in node.crossed.list_all():
+            crossed.add_metric([frame, route], size)
+        yield crossed
         for name, text, value in node.list_gauges():
             yield core.GaugeMetricFamily(PREFIX + name, text, value=value)
 
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -12,6 +12,7 @@
     NODE_STOPPED,
     NODE_STOPPING,
     STORE_WRITE_FAILED,
+    ZONE_BYTES,
 )
 from ..supervisor import Supervisor
 from .admission import Admission
@@ -42,6 +43,7 @@
 from .retry_budget import RetryBudget
 from .server_connection import Handler
 from .telling import Teller
+from .zone_bytes import ZoneBytes
 from .zone_costs import ZoneCosts
 
 STORE_RETRY_SECONDS = 0.5
@@ -60,6 +62,9 @@
 STOP_MARGIN_SECONDS = 0.85
 # An age that is not known is told as this one, some days: a message holds no infinity.
 LONGEST_AGE_SECONDS = 1e6
+# How often the log has what crossed to other zones, in seconds, and how much of it.
+CROSSED_SECONDS = 10.0
+CROSSED_LISTED = 12
 # How often peers are looked after, in seconds; a fifth of what a silent one may take.
 WATCH_SECONDS = 0.5
 
@@ -130,6 +135,7 @@
         self.answer_sizes = AnswerSizes()
         self.zone_costs = ZoneCosts(self.graph, self._price_crossing)
         self.meter = Meter()
+        self.crossed = ZoneBytes()
         self.budget = RetryBudget(
             settings.retry_ratio, settings.retry_fixed, settings.retry_window
         )
@@ -313,6 +319,7 @@
             ("load", self._load_watch.run),
             ("state", self._teller.run),
             ("relay", self._teller.run_relay),
+            ("bytes", self._tell_crossed),
             ("peers", self._watch_peers),
         )
         for name, work in parts:
@@ -412,3 +419,11 @@
                 peer = self.fleet.get(name)
                 if peer is not None:
                     peer.ask_policy_age()
+
+    async def _tell_crossed(self) -> None:
+        """Log what crossed to other zones, again and again."""
+        while True:
+            await asyncio.sleep(CROSSED_SECONDS)
+            most = self.crossed.list_all()[:CROSSED_LISTED]
+            if most:
+                self._journal.emit(ZONE_BYTES, most=most)
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -28,6 +28,7 @@
 )
 from .model import NodeEntry, NodeState
 from .streams import FrameStream
+from .zone_bytes import ZoneBytes
 
 # A stream on which a call waits and nothing came for so long makes others be chosen:
 # most calls end sooner, and the question sent then is answered in milliseconds.
@@ -51,6 +52,10 @@
     def entry(self) -> NodeEntry:
         """How this node is found."""
 
+    @property
+    def crossed(self) -> ZoneBytes:
+        """Counts what is sent to other availability zones."""
+
     def learn_drains(self, drains: dict[str, int]) -> None:
         """Take in which backend servers leave, as a peer remembers."""
 
@@ -230,7 +235,7 @@
         if not self._pending:
             self._busy_since = time.monotonic()
         self._pending[frame.id] = future
-        self._stream.send(frame)
+        self._stream.send(frame, frame.route if isinstance(frame, Call) else "")
         try:
             return await future
         finally:
@@ -245,7 +250,7 @@
             )
         self._stream = stream
         if self.entry.zone != self._host.entry.zone:
-            stream.pack()
+            stream.pack(self._host.crossed)
         stream.send(Hello(self._host.entry))
         self.ask_policy_age()
 
--- a/primroseglade/sidecar/peer_server.py
+++ b/primroseglade/sidecar/peer_server.py
@@ -26,6 +26,7 @@
 )
 from .model import NodeEntry, NodeState
 from .streams import FrameStream
+from .zone_bytes import ZoneBytes
 
 
 class ServerHost(Protocol):
@@ -35,6 +36,10 @@
     def entry(self) -> NodeEntry:
         """How this node is found."""
 
+    @property
+    def crossed(self) -> ZoneBytes:
+        """Counts what is sent to other availability zones."""
+
     @property
     def drains(self) -> dict[str, int]:
         """Backend servers beside other nodes that leave."""
@@ -140,7 +145,7 @@
             stream.send(Pong(frame.id, answer.version, answer.age_ms))
         elif isinstance(frame, Hello):
             if frame.entry.zone != self._host.entry.zone:
-                stream.pack()
+                stream.pack(self._host.crossed)
             state = self._host.build_state()
             stream.send(Hello(self._host.entry, state, self._host.drains))
             self._greeted[stream] = frame.entry
@@ -180,7 +185,8 @@
                 served.body,
                 served.answer.sealed,
                 self._host.occupied,
-            )
+            ),
+            call.route,
         )
 
     def _build_refusal(self, call: Call, refusal: Refusal) -> CallRefused:
--- a/primroseglade/sidecar/streams.py
+++ b/primroseglade/sidecar/streams.py
@@ -8,6 +8,7 @@
 from .frames import encode_frame, Frame, FrameError, FrameReader, pack_frame
 from .http_client import KEEP_ALIVE_IDLE_SECONDS, UNACKNOWLEDGED_MS
 from .packing import Packer
+from .zone_bytes import ZoneBytes
 
 # Bytes that may wait unsent on a stream; a peer that does not read for as long as
 # they fill is cut off, so that it cannot take this process's memory.
@@ -27,6 +28,7 @@
 
     __slots__ = (
         "_broken",
+        "_crossed",
         "_lost",
         "_packer",
         "_reader",
@@ -46,6 +48,7 @@
         self._transport: asyncio.Transport | None = None
         self._broken = ""
         self._packer: Packer | None = None
+        self._crossed: ZoneBytes | None = None
         self.heard_at = time.monotonic()
 
     @property
@@ -85,16 +88,25 @@
         """Whether frames are packed on this stream."""
         return self._packer is not None
 
-    def pack(self) -> None:
-        """Pack what is sent from now on: the other end is in another zone."""
+    def pack(self, crossed: ZoneBytes) -> None:
+        """Pack and count what is sent from now on: the other end is in another zone."""
         self._packer = Packer()
+        self._crossed = crossed
 
-    def send(self, frame: Frame) -> None:
-        """Send a frame; without effect once the connection is gone."""
-        if self._packer is not None:
-            self.send_encoded(pack_frame(frame, self._packer))
-        else:
+    def send(self, frame: Frame, route: str = "") -> None:
+        """Send a frame; without effect once the connection is gone.
+
+        Args:
+            frame: To send.
+            route: That it belongs to, as it is counted.
+        """
+        if self._packer is None:
             self.send_encoded(encode_frame(frame))
+            return
+        data = pack_frame(frame, self._packer)
+        if self._crossed is not None:
+            self._crossed.note(type(frame).__name__, route, len(data))
+        self.send_encoded(data)
 
     def send_encoded(self, data: bytes) -> None:
         """Send a frame that is encoded already, as for many streams at once."""
--- /dev/null
+++ b/primroseglade/sidecar/zone_bytes.py
@@ -0,0 +1,37 @@
+"""What this node sent to other availability zones, where bytes are dear."""
+
+import collections
+
+# Routes that are counted by name; the rest is counted together.
+MOST_ROUTES = 200
+OTHER_ROUTES = "other"
+
+
+class ZoneBytes:
+    """Bytes by kind of frame and by route.
+
+    >>> crossed = ZoneBytes()
+    >>> crossed.note("Call", "photos", 300)
+    >>> crossed.note("Call", "photos", 200)
+    >>> crossed.list_all()
+    [('Call', 'photos', 500)]
+    """
+
+    __slots__ = ("_counts", "_routes")
+
+    def __init__(self) -> None:
+        self._counts: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._routes: set[str] = set()
+
+    def note(self, frame: str, route: str, size: int) -> None:
+        """Count a frame that was sent."""
+        if route not in self._routes:
+            if len(self._routes) >= MOST_ROUTES:
+                route = OTHER_ROUTES
+            else:
+                self._routes.add(route)
+        self._counts[frame, route] += size
+
+    def list_all(self) -> list[tuple[str, str, int]]:
+        """Return kind, route and bytes, the most bytes first."""
+        return [(frame, route, n) for (frame, route), n in self._counts.most_common()]
