Ask a few nodes at random in each zone, and other zones only where they can be better

Cause: with more than eight backend servers of a service in a zone, nodes looked at the first eight by the order in which they were learnt, and at eight of all others: measured with 36 in three zones, four of twelve got a sixth of the others' calls; and a choice cost 51 us. Change: five near and three far from a random place on; far ones are not even looked at where the price of crossing is more than what the best near one costs. Exploring stays in its zone.

--- a/primroseglade/sidecar/choice.py
+++ b/primroseglade/sidecar/choice.py
@@ -1,7 +1,7 @@
 """Where a call goes: the least expected time, with the own availability zone first."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Callable
 
 # What a call to another availability zone has to be better by: the way there and back,
 # and a part of the time in which its answer has its full use. Bytes between zones are
@@ -20,8 +20,6 @@
 # So much more or less does another zone cost for a single call: where a zone fills up,
 # nodes send a growing part of its calls away, and not all of them at one moment.
 PRICE_SPREAD = 0.15
-# Candidates looked at for a call; more would cost time and gain little.
-SAMPLE = 8
 
 
 class Candidate:
@@ -71,9 +69,6 @@
 # or failed for a while gets no others, and would never be seen to have recovered.
 EXPLORED = 0.02
 ROOM_TO_EXPLORE = 0.7
-# Of these calls, so many look at other zones too: those who are near explore first, and
-# others hear of it.
-EXPLORED_FAR = 0.1
 
 
 def price_other_zone(target: float, size: float) -> float:
@@ -121,44 +116,45 @@
 
 
 def choose(
-    candidates: list[Candidate],
-    tried: Collection[str],
+    near: list[Candidate],
+    list_far: Callable[[], list[Candidate]],
     other_zone_ms: float,
+    least_far_ms: float,
     rng: random.Random,
 ) -> Candidate | None:
     """Return where the next attempt goes, or None if nothing is left to try.
 
     Args:
-        candidates: Nodes whose backend servers serve the call.
-        tried: Names of nodes that are not to be asked again.
+        near: Nodes in the own availability zone that may be asked.
+        list_far: Returns those in others; not called where none can be better.
         other_zone_ms: Of `price_other_zone`.
+        least_far_ms: What the calls below the call cost elsewhere, at the least.
         rng: Breaks ties.
     """
-    left = [item for item in candidates if item.name not in tried]
-    if len(left) > SAMPLE:
-        near = [item for item in left if item.same_zone]
-        left = near[:SAMPLE] + rng.sample(left, SAMPLE)
-    if len(left) > 1 and rng.random() < EXPLORED:
-        roomy = _list_roomy(left, rng)
+    if len(near) > 1 and rng.random() < EXPLORED:
+        # Nodes of other zones hear what becomes of it.
+        roomy = [i for i in near if i.occupied < ROOM_TO_EXPLORE * i.slots]
         if roomy:
             return rng.choice(roomy)
+    best, least = _find_cheapest(near, rng)
     crossing = other_zone_ms * rng.uniform(1.0 - PRICE_SPREAD, 1.0 + PRICE_SPREAD)
+    if best is not None and least <= crossing + least_far_ms:
+        return best
+    other, cost = _find_cheapest(list_far(), rng)
+    if best is None or (other is not None and cost + crossing < least):
+        return other
+    return best
+
+
+def _find_cheapest(
+    candidates: list[Candidate], rng: random.Random
+) -> tuple[Candidate | None, float]:
+    """Return the cheapest place for a call, and what the call costs there."""
     best: Candidate | None = None
     least = 0.0
-    for item in left:
+    for item in candidates:
         cost = estimate_cost(item) * (1.0 + JITTER * rng.random()) + item.below_ms
-        if not item.same_zone:
-            cost += crossing
         if best is None or cost < least:
             best = item
             least = cost
-    return best
-
-
-def _list_roomy(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
-    """Return whom to try although others seem better."""
-    roomy = [i for i in candidates if i.occupied < ROOM_TO_EXPLORE * i.slots]
-    near = [item for item in roomy if item.same_zone]
-    if near and rng.random() >= EXPLORED_FAR:
-        return near
-    return roomy
+    return best, least
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -1,5 +1,6 @@
 """All nodes as this one knows them, and who serves what."""
 
+import itertools
 import random
 import time
 from collections.abc import Collection, Iterator
@@ -12,6 +13,24 @@
 from .peer import Host, Peer
 from .zone_costs import Costs
 
+# Nodes looked at for a call, in this node's zone and in others: the best of a few at
+# random is nearly as good as the best of all, and costs the same in any fleet.
+NEAR_SAMPLE = 5
+FAR_SAMPLE = 3
+
+
+class Places:
+    """The nodes of one service, in this node's zone and in others."""
+
+    __slots__ = ("far", "near")
+
+    def __init__(self) -> None:
+        self.near: list[Peer] = []
+        self.far: list[Peer] = []
+
+
+NOWHERE = Places()
+
 
 class Fleet:
     """The other nodes.
@@ -31,7 +50,7 @@
         self._journal = journal
         self._rng = rng
         self._peers: dict[str, Peer] = {}
-        self._by_service: dict[str, list[Peer]] = {}
+        self._places: dict[str, Places] = {}
 
     def __iter__(self) -> Iterator[Peer]:
         return iter(list(self._peers.values()))
@@ -104,53 +123,79 @@
             other_zone_ms: By how much another availability zone has to be better.
             below: What the calls below it cost, by zone.
         """
+        places = self._places.get(service, NOWHERE)
         now = time.monotonic()
-        candidates = [own] if own is not None else []
-        suspects: list[Candidate] = []
-        zone = self.zone
-        for peer in self._by_service.get(service, ()):
-            state = peer.state
-            if not state.instance or not peer.connected:
+        near = self._sample(places.near, NEAR_SAMPLE, tried, below, now)
+        if own is not None and own.name not in tried:
+            near.append(own)
+        least_far = min((below[zone] for zone in below if zone != self.zone), default=0)
+        chosen = choose(
+            near,
+            lambda: self._sample(places.far, FAR_SAMPLE, tried, below, now),
+            other_zone_ms,
+            least_far,
+            self._rng,
+        )
+        return chosen or self._find_suspect(places, tried, below)
+
+    def _find_suspect(
+        self, places: "Places", tried: Collection[str], below: Costs
+    ) -> Candidate | None:
+        """Return a node that is silent, where no other serves a call."""
+        for peer in places.near + places.far:
+            if peer.usable and peer.entry.name not in tried:
+                return self._describe(peer, below)
+        return None
+
+    def _sample(
+        self,
+        peers: list[Peer],
+        most: int,
+        tried: Collection[str],
+        below: Costs,
+        now: float,
+    ) -> list[Candidate]:
+        """Return some nodes that may be asked, others with each call."""
+        found: list[Candidate] = []
+        start = self._rng.randrange(len(peers)) if len(peers) > 1 else 0
+        for peer in itertools.chain(peers[start:], peers[:start]):
+            if not peer.usable or peer.entry.name in tried or peer.is_suspect(now):
                 continue
-            candidate = Candidate(
-                peer.entry.name,
-                peer.entry.zone == zone,
-                state.slots,
-                peer.occupied,
-                state.service_ms,
-                state.failing,
-                below.get(peer.entry.zone, 0.0),
-            )
-            (suspects if peer.is_suspect(now) else candidates).append(candidate)
-        return choose(candidates, tried, other_zone_ms, self._rng) or choose(
-            suspects, tried, other_zone_ms, self._rng
+            found.append(self._describe(peer, below))
+            if len(found) == most:
+                break
+        return found
+
+    def _describe(self, peer: Peer, below: Costs) -> Candidate:
+        state = peer.state
+        zone = peer.entry.zone
+        return Candidate(
+            peer.entry.name,
+            zone == self.zone,
+            state.slots,
+            peer.occupied,
+            state.service_ms,
+            state.failing,
+            below.get(zone, 0.0),
         )
 
     def list_cheapest(self) -> dict[str, Costs]:
         """Return what a call costs at other nodes beyond its work, by service, zone."""
         cheapest: dict[str, Costs] = {}
         for peer in self._peers.values():
-            state = peer.state
-            if not state.instance or not peer.connected:
+            if not peer.usable:
                 continue
-            candidate = Candidate(
-                peer.entry.name,
-                True,
-                state.slots,
-                peer.occupied,
-                state.service_ms,
-                state.failing,
-            )
             zones = cheapest.setdefault(peer.entry.service, {})
-            cost = estimate_trouble(candidate)
+            cost = estimate_trouble(self._describe(peer, {}))
             zones[peer.entry.zone] = min(cost, zones.get(peer.entry.zone, cost))
         return cheapest
 
     def get_failing(self, service: str) -> float:
         """Return the share of calls that fail at a service, over its nodes."""
+        places = self._places.get(service, NOWHERE)
         told = [
             peer.state.failing
-            for peer in self._by_service.get(service, ())
+            for peer in places.near + places.far
             if peer.state.instance
         ]
         return sum(told) / len(told) if told else 0.0
@@ -159,7 +204,7 @@
         """Return how busy each service is, without this node's part."""
         loads: dict[str, Load] = {}
         for peer in self._peers.values():
-            if not peer.connected or not peer.state.instance:
+            if not peer.usable:
                 continue
             state = peer.state
             load = loads.setdefault(peer.entry.service, Load())
@@ -176,9 +221,11 @@
         return demand
 
     def _index(self) -> None:
-        self._by_service = {}
+        self._places = {}
         for peer in self._peers.values():
-            self._by_service.setdefault(peer.entry.service, []).append(peer)
+            places = self._places.setdefault(peer.entry.service, Places())
+            near = peer.entry.zone == self.zone
+            (places.near if near else places.far).append(peer)
 
     async def _run(self, peer: Peer) -> None:
         await peer.run()
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -104,6 +104,11 @@
         """Whether calls can be sent to it."""
         return self._greeted and self._stream is not None and not self._stream.closed
 
+    @property
+    def usable(self) -> bool:
+        """Whether its backend server takes calls that can be sent there."""
+        return bool(self.state.instance) and self.connected
+
     def is_suspect(self, now: float) -> bool:
         """Whether calls wait there and nothing is heard."""
         stream = self._stream
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,75 @@
+"""Who of a large fleet is asked."""
+
+import collections
+import random
+
+import pytest
+
+from primroseglade.observe.events import Journal
+from primroseglade.sidecar.fleet import Fleet
+from primroseglade.sidecar.model import NodeEntry, NodeState
+from primroseglade.sidecar.peer import Peer
+from primroseglade.sidecar.zone_bytes import ZoneBytes
+
+
+class Host:
+    """The node that looks at the fleet."""
+
+    entry = NodeEntry("here", "127.0.0.1:1", "a", "front", 1)
+    crossed = ZoneBytes()
+
+
+class NoTasks:
+    """Starts nothing: no stream is opened."""
+
+    def start(self, name: str, work: object) -> None:
+        """Do nothing."""
+
+
+@pytest.fixture
+async def fleet(monkeypatch: pytest.MonkeyPatch) -> Fleet:
+    """Twelve backend servers of a service in each of three zones, all idle."""
+    monkeypatch.setattr(Peer, "connected", property(lambda self: True))
+    fleet = Fleet(Host(), NoTasks(), Journal("here", "error"), random.Random(1))
+    for number in range(36):
+        name = f"deep-{number:02}"
+        fleet.learn(NodeEntry(name, "127.0.0.1:2", "abc"[number % 3], "deep", 1))
+        peer = fleet.get(name)
+        assert peer is not None
+        peer.state = NodeState("i", 32, 2.0, 20.0)
+    return fleet
+
+
+async def test_all_backend_servers_of_a_zone_get_their_part(fleet: Fleet):
+    """Nodes looked at the first eight of their zone by name. The other four stood idle
+    while those eight had queues, and calls crossed to other zones.
+    """
+    chosen = collections.Counter(
+        candidate.name
+        for _ in range(6000)
+        if (candidate := fleet.choose("deep", None, (), 40.0, {}))
+    )
+    assert len(chosen) == 12
+    assert min(chosen.values()) > 0.6 * 6000 / 12
+
+
+async def test_nobody_is_asked_twice_while_others_are_left(fleet: Fleet):
+    """What was tried is passed over, in its zone first; in the end nobody is left."""
+    tried: list[str] = []
+    zones = []
+    while candidate := fleet.choose("deep", None, tried, 40.0, {}):
+        tried.append(candidate.name)
+        zones.append(candidate.same_zone)
+    assert len(set(tried)) == 36
+    assert zones == [True] * 12 + [False] * 24
+
+
+async def test_a_queue_in_the_whole_zone_sends_calls_to_others(fleet: Fleet):
+    """Where all of a zone's backend servers have two calls waiting for each slot."""
+    for number in range(0, 36, 3):
+        peer = fleet.get(f"deep-{number:02}")
+        assert peer is not None
+        peer.note_load(96.0)
+    candidate = fleet.choose("deep", None, (), 40.0, {})
+    assert candidate is not None
+    assert not candidate.same_zone
