A failed call costs two targets, and shows at once to who made it

Cause: since bytes keep calls at home, look-ups stayed with a zone's only backend server while three in ten of its answers got lost: a failure counted as six calls' time, 40 ms of 22 ms work, less than the price of crossing. And a node heard of failures with the next state only. Change: a failure costs twice the route's target; a node counts the failures of its own calls between states. Test: test_calls_leave_a_zone_whose_backend_server_fails.

--- a/primroseglade/sidecar/choice.py
+++ b/primroseglade/sidecar/choice.py
@@ -12,7 +12,10 @@
 # And for each kilobyte, of the call and of its answer: where a zone is short of backend
 # servers, its small calls go elsewhere and make room for the large ones.
 OTHER_ZONE_MS_A_KILOBYTE = 10.0
-# A failed call costs its caller about as much as so many calls' time.
+# A failed call costs as much as an answer that is late by so many targets: its caller
+# gets nothing, or begins anew.
+FAILURE_TARGETS = 2.0
+# Among the calls below a call, a failure counts as so many calls' time.
 FAILURE_FACTOR = 6.0
 # Nodes with the same view would all choose the same place: each sees the others'
 # calls only with its next answer.
@@ -82,11 +85,18 @@
     return price + size / 1000 * OTHER_ZONE_MS_A_KILOBYTE
 
 
+def price_failure(target: float) -> float:
+    """Return how many milliseconds a failed call costs.
+
+    Args:
+        target: Seconds within which the answer has its full use.
+    """
+    return FAILURE_TARGETS * target * 1000
+
+
 def estimate_cost(candidate: Candidate) -> float:
     """Return the expected milliseconds of a call at a backend server.
 
-    Failures cost too.
-
     >>> idle = Candidate("a", True, 20, 10, 15.0, 0.0)
     >>> full = Candidate("b", True, 20, 90, 15.0, 0.0)
     >>> estimate_cost(full) > 2 * estimate_cost(idle)
@@ -94,8 +104,7 @@
     """
     used = (candidate.occupied + 1) / max(1, candidate.slots)
     waiting = max(0.0, used - 1.0)
-    cost = max(1.0, candidate.service_ms) * (1.0 + min(used, 1.0) ** 2 + waiting)
-    return cost * (1.0 + FAILURE_FACTOR * candidate.failing)
+    return max(1.0, candidate.service_ms) * (1.0 + min(used, 1.0) ** 2 + waiting)
 
 
 def estimate_trouble(candidate: Candidate) -> float:
@@ -120,6 +129,7 @@
     list_far: Callable[[], list[Candidate]],
     other_zone_ms: float,
     least_far_ms: float,
+    failure_ms: float,
     rng: random.Random,
 ) -> Candidate | None:
     """Return where the next attempt goes, or None if nothing is left to try.
@@ -129,6 +139,7 @@
         list_far: Returns those in others; not called where none can be better.
         other_zone_ms: Of `price_other_zone`.
         least_far_ms: What the calls below the call cost elsewhere, at the least.
+        failure_ms: Of `price_failure`.
         rng: Breaks ties.
     """
     if len(near) > 1 and rng.random() < EXPLORED:
@@ -136,24 +147,25 @@
         roomy = [i for i in near if i.occupied < ROOM_TO_EXPLORE * i.slots]
         if roomy:
             return rng.choice(roomy)
-    best, least = _find_cheapest(near, rng)
+    best, least = _find_cheapest(near, failure_ms, rng)
     crossing = other_zone_ms * rng.uniform(1.0 - PRICE_SPREAD, 1.0 + PRICE_SPREAD)
     if best is not None and least <= crossing + least_far_ms:
         return best
-    other, cost = _find_cheapest(list_far(), rng)
+    other, cost = _find_cheapest(list_far(), failure_ms, rng)
     if best is None or (other is not None and cost + crossing < least):
         return other
     return best
 
 
 def _find_cheapest(
-    candidates: list[Candidate], rng: random.Random
+    candidates: list[Candidate], failure_ms: float, rng: random.Random
 ) -> tuple[Candidate | None, float]:
     """Return the cheapest place for a call, and what the call costs there."""
     best: Candidate | None = None
     least = 0.0
     for item in candidates:
-        cost = estimate_cost(item) * (1.0 + JITTER * rng.random()) + item.below_ms
+        cost = estimate_cost(item) * (1.0 + JITTER * rng.random())
+        cost += failure_ms * item.failing + item.below_ms
         if best is None or cost < least:
             best = item
             least = cost
--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -9,7 +9,7 @@
 from .answer_sizes import AnswerSizes
 from .backend import Backend, BackendRefusal, Served
 from .call_graph import CallGraph
-from .choice import Candidate, price_other_zone
+from .choice import Candidate, price_failure, price_other_zone
 from .fleet import Fleet
 from .frames import Call
 from .meter import Meter
@@ -281,8 +281,15 @@
                 own.below_ms = below.get(self._fleet.zone, 0.0)
         size = len(call.head) + len(call.body)
         size += self._answer_sizes.expect(call.route.name)
-        price = price_other_zone(call.route.target_latency, size)
-        return self._fleet.choose(call.service, own, tried, price, below)
+        target = call.route.target_latency
+        return self._fleet.choose(
+            call.service,
+            own,
+            tried,
+            price_other_zone(target, size),
+            price_failure(target),
+            below,
+        )
 
     async def _send(self, call: OutgoingCall, candidate: Candidate) -> Outcome:
         remaining = call.deadline - time.monotonic()
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -112,6 +112,7 @@
         own: Candidate | None,
         tried: Collection[str],
         other_zone_ms: float,
+        failure_ms: float,
         below: Costs,
     ) -> Candidate | None:
         """Return where a call to a service goes next.
@@ -121,6 +122,7 @@
             own: This node, where its backend server serves it.
             tried: Names of nodes that are not to be asked again.
             other_zone_ms: By how much another availability zone has to be better.
+            failure_ms: What a failed call costs.
             below: What the calls below it cost, by zone.
         """
         places = self._places.get(service, NOWHERE)
@@ -134,6 +136,7 @@
             lambda: self._sample(places.far, FAR_SAMPLE, tried, below, now),
             other_zone_ms,
             least_far,
+            failure_ms,
             self._rng,
         )
         return chosen or self._find_suspect(places, tried, below)
@@ -175,7 +178,7 @@
             state.slots,
             peer.occupied,
             state.service_ms,
-            state.failing,
+            peer.failing,
             below.get(zone, 0.0),
         )
 
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -40,6 +40,10 @@
 CONNECT_SECONDS = 1.0
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 2.0
+# Weight of a call's end in the share that fails there, about the last 30 calls.
+FAILURE_SMOOTHING = 1 / 32
+# Statuses from here on are failures of the backend server, HTTP's server errors.
+FIRST_FAILURE = 500
 # A node that could not be reached for so long is forgotten. Longer than restarts and
 # cuts last; one that comes back introduces itself.
 FORGET_SECONDS = 120.0
@@ -86,6 +90,8 @@
         self.state = NodeState()
         self._loop = asyncio.get_running_loop()
         self.occupied = 0.0
+        #: Share of calls that fail there: as told, and as seen since.
+        self.failing = 0.0
         self._host = host
         self._journal = journal
         self._stream: FrameStream | None = None
@@ -145,6 +151,7 @@
             state.calls_below = self.state.calls_below
         self.state = state
         self.note_load(state.occupied)
+        self.failing = state.failing
         self._host.note_state(self)
         return True
 
@@ -168,6 +175,8 @@
             raise
         except ConnectionError as error:
             raise may_have_run(Reason.CONNECTION_LOST, str(error)) from error
+        failed = not isinstance(reply, CallAnswer) or reply.status >= FIRST_FAILURE
+        self.failing += FAILURE_SMOOTHING * (failed - self.failing)
         if isinstance(reply, CallAnswer):
             self.note_load(reply.occupied)
             return reply
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -2,7 +2,12 @@
 
 import random
 
-from primroseglade.sidecar.choice import Candidate, choose, price_other_zone
+from primroseglade.sidecar.choice import (
+    Candidate,
+    choose,
+    price_failure,
+    price_other_zone,
+)
 
 SLOTS = 25
 
@@ -21,7 +26,7 @@
     for _ in range(1000):
         near = Candidate("near", True, SLOTS, near_occupied, near_ms, 0.0)
         other = Candidate("far", False, SLOTS, 10.0, far_ms, 0.0)
-        choice = choose([near], lambda other=other: [other], price, 0.0, rng)
+        choice = choose([near], lambda other=other: [other], price, 0.0, 0.0, rng)
         assert choice is not None
         far += choice.name == "far"
     return far / 1000
@@ -67,8 +72,24 @@
         failing = Candidate("failing", True, SLOTS, 2.0, 20.0, 1.0)
         far = [Candidate(f"far-{n}", False, SLOTS, 2.0, 20.0, 0.0) for n in range(3)]
         price = price_other_zone(0.3, 500)
-        choice = choose([near, failing], lambda far=far: far, price, 0.0, rng)
+        choice = choose([near, failing], lambda far=far: far, price, 0.0, 600.0, rng)
         assert choice is not None
         chosen.append(choice)
     assert all(choice.same_zone for choice in chosen)
     assert sum(c.name == "failing" for c in chosen) > 0.005 * len(chosen)
+
+
+def test_calls_leave_a_zone_whose_backend_server_fails():
+    """A third of a backend server's answers got lost. It was the only one of its zone,
+    and look-ups stayed there to save bytes, though each that failed threw away the
+    page above it.
+    """
+    rng = random.Random(3)
+    near = Candidate("near", True, SLOTS, 5.0, 22.0, 0.3)
+    far = Candidate("far", False, SLOTS, 5.0, 22.0, 0.0)
+    price = price_other_zone(0.3, 900)
+    failure = price_failure(0.3)
+    chosen = [
+        choose([near], lambda: [far], price, 0.0, failure, rng) for _ in range(500)
+    ]
+    assert sum(choice is far for choice in chosen) > 0.95 * len(chosen)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -47,7 +47,7 @@
     chosen = collections.Counter(
         candidate.name
         for _ in range(6000)
-        if (candidate := fleet.choose("deep", None, (), 40.0, {}))
+        if (candidate := fleet.choose("deep", None, (), 40.0, 600.0, {}))
     )
     assert len(chosen) == 12
     assert min(chosen.values()) > 0.6 * 6000 / 12
@@ -57,7 +57,7 @@
     """What was tried is passed over, in its zone first; in the end nobody is left."""
     tried: list[str] = []
     zones = []
-    while candidate := fleet.choose("deep", None, tried, 40.0, {}):
+    while candidate := fleet.choose("deep", None, tried, 40.0, 600.0, {}):
         tried.append(candidate.name)
         zones.append(candidate.same_zone)
     assert len(set(tried)) == 36
@@ -70,6 +70,6 @@
         peer = fleet.get(f"deep-{number:02}")
         assert peer is not None
         peer.note_load(96.0)
-    candidate = fleet.choose("deep", None, (), 40.0, {})
+    candidate = fleet.choose("deep", None, (), 40.0, 600.0, {})
     assert candidate is not None
     assert not candidate.same_zone
