Ask a silent stream after a quarter of a second, and end it a second later

Cause: when a zone was cut off without a word, streams to it were found silent after 0.8 s and ended after 2.5 s; calls in flight and those sent meanwhile waited as long. A question asked anew by another duty hid for how long nothing had been heard: found by the test. Change: a stream on which a call waits is asked after 0.25 s of silence; unanswered for 0.25 s others are preferred, for 1 s it ends. A look that comes late says that this process stood still, and is passed over.

--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -65,8 +65,13 @@
 # How often the log has what crossed to other zones, in seconds, and how much of it.
 CROSSED_SECONDS = 10.0
 CROSSED_LISTED = 12
-# How often peers are looked after, in seconds; a fifth of what a silent one may take.
+# How often peers are asked how old the configuration is, in seconds.
 WATCH_SECONDS = 0.5
+# How often streams are looked at for silence, in seconds.
+SILENCE_SECONDS = 0.1
+# A look that comes so late says that this process stood still, not that others are
+# silent: what they sent is still to be read.
+LATE_SECONDS = 0.1
 
 
 class NodeDialect(CallerDialect, BackendDialect, Protocol):
@@ -321,6 +326,7 @@
             ("relay", self._teller.run_relay),
             ("bytes", self._tell_crossed),
             ("peers", self._watch_peers),
+            ("silence", self._watch_silence),
         )
         for name, work in parts:
             self._supervisor.start(name, work)
@@ -406,11 +412,10 @@
         self._teller.tell_all()
 
     async def _watch_peers(self) -> None:
-        """Give up silent peers, and ask those who know how old the configuration is."""
+        """Ask those who know how old the configuration is."""
         while True:
             await asyncio.sleep(WATCH_SECONDS)
             now = time.monotonic()
-            self.fleet.check_silence(now)
             self.quotas.forget_silent(now)
             readers = self.fleet.list_readers()
             own = self._settings.name
@@ -427,3 +432,12 @@
             most = self.crossed.list_all()[:CROSSED_LISTED]
             if most:
                 self._journal.emit(ZONE_BYTES, most=most)
+
+    async def _watch_silence(self) -> None:
+        """Look for streams on which nothing comes any more."""
+        while True:
+            due = time.monotonic() + SILENCE_SECONDS
+            await asyncio.sleep(SILENCE_SECONDS)
+            now = time.monotonic()
+            if now - due < LATE_SECONDS:
+                self.fleet.check_silence(now)
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -30,13 +30,18 @@
 from .streams import FrameStream
 from .zone_bytes import ZoneBytes
 
-# A stream on which a call waits and nothing came for so long makes others be chosen:
-# most calls end sooner, and the question sent then is answered in milliseconds.
-SUSPECT_SECONDS = 0.8
-# A question that is unanswered for so long, with nothing else heard, ends the stream.
-# With the time until it is asked 2.5 s: below the time-outs of most callers; above a
-# lost packet's second retransmission.
-SILENT_SECONDS = 1.7
+# A stream on which a call waits and nothing came for so long is asked for a sign of
+# life.
+# Other nodes tell their states twice a second, and answers come in between.
+ASK_SECONDS = 0.25
+# A question is answered in milliseconds, whatever the backend server does. A node that
+# has not answered for so long gets no calls that others can take: a zone that is cut
+# off costs its callers half a second, not the time-out of each call.
+SUSPECT_SECONDS = 0.25
+# A question that is unanswered for so long, with nothing else heard, ends the stream,
+# and calls that may be repeated go elsewhere. Above a lost packet's second
+# retransmission.
+SILENT_SECONDS = 1.0
 CONNECT_SECONDS = 1.0
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 2.0
@@ -116,11 +121,12 @@
         return bool(self.state.instance) and self.connected
 
     def is_suspect(self, now: float) -> bool:
-        """Whether calls wait there and nothing is heard."""
+        """Whether it was asked for a sign of life and nothing is heard."""
         stream = self._stream
-        if stream is None or not self._pending:
+        if stream is None or not self._ping_id or not self._pending:
             return False
-        return now - max(stream.heard_at, self._busy_since) > SUSPECT_SECONDS
+        unheard = stream.heard_at < self._ping_sent_at
+        return unheard and now - self._ping_sent_at > SUSPECT_SECONDS
 
     async def run(self) -> None:
         """Keep a stream to the node, until it is unreachable for long."""
@@ -209,7 +215,7 @@
     def ask_policy_age(self) -> None:
         """Ask how old its knowledge of the configuration is, if it is not asked yet."""
         now = time.monotonic()
-        if self._ping_id and now - self._ping_sent_at < SILENT_SECONDS:
+        if self._ping_id and not self._may_ask_again(now):
             return
         self._last_id += 1
         self._ping_id = self._last_id
@@ -229,8 +235,18 @@
         if self._ping_id and now - self._ping_sent_at > SILENT_SECONDS:
             if stream.heard_at < self._ping_sent_at:
                 self._drop("silent")
-        elif self.is_suspect(now):
-            self.ask_policy_age()
+        elif self._pending:
+            if now - max(stream.heard_at, self._busy_since) > ASK_SECONDS:
+                self.ask_policy_age()
+
+    def _may_ask_again(self, now: float) -> bool:
+        """Whether a question is old, though others were heard of since.
+
+        While nothing was heard, a new question would hide for how long.
+        """
+        stream = self._stream
+        heard = stream is not None and stream.heard_at >= self._ping_sent_at
+        return heard and now - self._ping_sent_at >= SILENT_SECONDS
 
     def _build_refusal(self, reply: CallRefused) -> Refusal:
         reason = Reason.from_code(reply.reason) or Reason.OVERLOADED
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -274,3 +274,33 @@
     place.backend._sequence = 0
     assert await place.backend.report() == 200
     assert place.node.backend.instance == ""
+
+
+async def test_calls_soon_go_elsewhere_when_a_zone_falls_silent(mesh: Mesh):
+    """A zone was cut off, and packets to it vanished. For two seconds half of all calls
+    were sent there and waited until their time was up, though another zone served them.
+    """
+    silent = mesh.places[1].node._peer_server
+    cut = [(stream, stream._transport) for stream in silent._streams]
+    for stream, transport in cut:
+        transport.pause_reading()
+        stream._transport = None
+    clock = asyncio.get_running_loop().time
+    cut_at = clock()
+    took: dict[float, float] = {}
+
+    async def call(number: int) -> None:
+        started = clock()
+        answer = await ask(mesh.places[0], "/deep/a", f"cut-{number}")
+        assert answer.status == 200
+        took[started - cut_at] = clock() - started
+
+    async with asyncio.TaskGroup() as group:
+        for number in range(60):
+            group.create_task(call(number))
+            await asyncio.sleep(0.025)
+    for stream, transport in cut:
+        stream._transport = transport
+    late = [seconds for at, seconds in took.items() if at > 0.8]
+    assert max(late) < 0.3
+    assert max(took.values()) < 1.9
