Count the time that calls wait between two nodes

A call tells how much time is left when it is sent; what it waits on a full link or for a node's processor was counted by nobody. Change: a call tells its sender's clock; against the quickest call of the last seconds on that stream the receiver knows how long it waited, and takes it off. Before its work begins, and once a connection is there, a call with no time left is refused as not run.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -19,6 +19,8 @@
 from .own_calls import OwnCalls
 
 CONNECT_SECONDS = 1.0
+# A call with less time left is not begun.
+LEAST_SECONDS = 0.002
 # Weight of a new outcome in the share of failed calls, about the last 30 calls.
 FAILURE_SMOOTHING = 1 / 32
 # Times the usual work after which a call without an answer counts as failed. Work of a
@@ -233,13 +235,15 @@
         """
         self._check_instance(call)
         deadline = time.monotonic() + remaining
+        _check_time(deadline)
         turn = await self.queue.acquire(call.target_ms / 1000, remaining, call.nested)
         started = time.monotonic()
         whole = False
         self._own_calls.note_start(call.route, started)
         try:
-            # It may have left while the call waited.
+            # It may have left while the call waited, or this node stood still.
             self._check_instance(call)
+            _check_time(deadline)
             served = await self._exchange(call, deadline)
             whole = True
             return served
@@ -284,6 +288,7 @@
             self._note_outcome(failed=True)
             raise not_run(Reason.CONNECTION_LOST, error.detail) from error
         try:
+            _check_time(deadline)
             request = self._dialect.finish_request(call, deadline - time.monotonic())
             answer = await connection.exchange(
                 request, accept, call.head.startswith(b"HEAD ")
@@ -317,3 +322,9 @@
 
     def _note_outcome(self, failed: bool) -> None:
         self._failing += FAILURE_SMOOTHING * (float(failed) - self._failing)
+
+
+def _check_time(deadline: float) -> None:
+    """Refuse a call whose caller has left: what it would get done is of no use."""
+    if time.monotonic() > deadline - LEAST_SECONDS:
+        raise not_run(Reason.DEADLINE_EXCEEDED, "its time passed on the way")
--- a/primroseglade/sidecar/frames.py
+++ b/primroseglade/sidecar/frames.py
@@ -79,6 +79,7 @@
         nested: Whether a backend server makes it while it serves another.
         head: Request line and headers, but for those that the receiver sets.
         body: The whole body.
+        sent_ms: Milliseconds on the sender's clock; it agrees with no other.
     """
 
     id: int
@@ -91,6 +92,7 @@
     nested: bool
     head: bytes
     body: bytes
+    sent_ms: int = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=5):
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -174,6 +174,7 @@
         if not self.connected:
             raise not_run(Reason.CONNECTION_LOST, "no stream to the node")
         self.occupied += 1
+        call.sent_ms = int(read_age_clock() * 1000)
         try:
             reply = await self._ask(call)
         except asyncio.CancelledError:
--- a/primroseglade/sidecar/peer_server.py
+++ b/primroseglade/sidecar/peer_server.py
@@ -8,6 +8,7 @@
 from ..observe.events import CALL_FAILED, Journal
 from ..verdicts import Reason, Refusal, Verdict
 from .backend import BackendRefusal
+from .clock import read_age_clock
 from .dispatch import Dispatcher
 from .frames import (
     Call,
@@ -26,6 +27,7 @@
 )
 from .model import NodeEntry, NodeState
 from .streams import FrameStream
+from .transit import Transit
 from .zone_bytes import ZoneBytes
 
 
@@ -81,6 +83,7 @@
         self._journal = journal
         self._streams: dict[FrameStream, dict[int, asyncio.Task[None]]] = {}
         self._greeted: dict[FrameStream, NodeEntry] = {}
+        self._transits: dict[FrameStream, Transit] = {}
 
     @property
     def busy(self) -> int:
@@ -133,6 +136,7 @@
     def _receive(self, stream: FrameStream, frame: Frame) -> None:
         tasks = self._streams.setdefault(stream, {})
         if isinstance(frame, Call):
+            self._count_transit(stream, frame)
             task = self._loop.create_task(self._serve(stream, frame))
             tasks[frame.id] = task
             task.add_done_callback(lambda _: tasks.pop(frame.id, None))
@@ -156,8 +160,18 @@
             self._host.note_drain(frame.instance, frame.born)
             stream.send(DrainNoted(frame.id))
 
+    def _count_transit(self, stream: FrameStream, call: Call) -> None:
+        """Take from a call's time what it waited on its way."""
+        transit = self._transits.get(stream)
+        if transit is None:
+            transit = self._transits[stream] = Transit()
+        waited = transit.measure(call.sent_ms / 1000, read_age_clock()) * 1000
+        call.remaining_ms -= waited
+        call.target_ms -= waited
+
     def _note_lost(self, stream: FrameStream, reason: str) -> None:
         self._greeted.pop(stream, None)
+        self._transits.pop(stream, None)
         # The node that sent them is gone, or nothing reaches it: nobody waits.
         for task in list(self._streams.pop(stream, {}).values()):
             task.cancel()
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -2,6 +2,11 @@
 
 import asyncio
 
+import pytest
+
+from primroseglade.sidecar import peer
+from primroseglade.sidecar.clock import read_age_clock
+
 from .mesh import ask, build_configuration, Mesh, PATHS, Place, run_mesh
 
 
@@ -304,3 +309,17 @@
     late = [seconds for at, seconds in took.items() if at > 0.8]
     assert max(late) < 0.3
     assert max(took.values()) < 1.9
+
+
+async def test_a_call_that_was_held_up_past_its_time_does_not_run(
+    mesh: Mesh, monkeypatch: pytest.MonkeyPatch
+):
+    """Backend servers worked for callers that had left: calls had waited between two
+    nodes for longer than their callers did, and came with all of their time.
+    """
+    for number in range(4):
+        assert (await ask(mesh.places[0], "/deep/a", f"n{number}")).status == 200
+    monkeypatch.setattr(peer, "read_age_clock", lambda: read_age_clock() - 5.0)
+    answer = await ask(mesh.places[0], "/once/a", "held-up", method="POST")
+    assert answer.status == 503
+    assert not any("held-up" in place.backend.ran for place in mesh.places)
