--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -7,8 +7,7 @@
 How much that is, is reckoned and not searched for: what backend servers get done, over
 the calls that all requests ask for, admitted or not. A queue tells of an overload only
 when requests have come down the whole graph, and the state is told: by then a second
-has passed. Levels that followed the queue alone swung between a third of the slots in
-use and five calls a slot.
+has passed, and levels that follow it swing.
 """
 
 import random
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -23,8 +23,8 @@
 LEAST_SECONDS = 0.002
 # Weight of a new outcome in the share of failed calls, about the last 30 calls.
 FAILURE_SMOOTHING = 1 / 32
-# Times the usual work after which a call without an answer counts as failed. Work of a
-# hundredth of calls takes up to five times the mean on the users' sheets.
+# Times the usual work after which a call without an answer counts as failed; few calls
+# work for so long.
 SILENT_FACTOR = 4.0
 # A backend server that is still slow after its start works half as fast, as its
 # operators say; it is told to others as having fewer slots.
--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -10,21 +10,19 @@
 
 from ..verdicts import not_run, Reason
 
-# Some backend servers slow down by a third when more than 95 in 100 of their slots
-# are taken: the last slots cost more than they bring. One in sixteen is left free.
+# Backend servers slow down when nearly all of their slots are taken: the last ones cost
+# more than they bring.
 USED_SLOTS = 15 / 16
 # Calls go in the order in which they came, with a handicap of so many times their
-# target. With one, calls of a service with a target of 300 ms that had waited 200 ms
-# went before ones with 100 ms, which were then late; with three that needs 600 ms.
+# target: one with a short target goes before another that has not waited for long.
 TARGET_WEIGHT = 3.0
 # Weight of a new measurement of the usual time of work, about the last 30 calls.
 SMOOTHING = 1 / 32
 # Before the first answer, in seconds.
 FIRST_SERVICE_SECONDS = 0.03
 # Times the usual work after which a call without an answer holds its turn no longer.
-# Fewer than one in ten works for so long, and backend servers queue a few. Answers that
-# get lost leave their backend server free, but held turns until their callers' time was
-# up: with three in ten lost, a service did an eighth of what it could.
+# An answer that got lost leaves its backend server free. Few calls work for so long,
+# and backend servers queue those.
 HOLD_FACTOR = 2.0
 # Calls of callers that wait for one that is at work, at the most. They are refused
 # early, while they may still be served elsewhere or come back in time.
--- a/primroseglade/sidecar/choice.py
+++ b/primroseglade/sidecar/choice.py
@@ -68,8 +68,8 @@
         self.below_ms = below_ms
 
 
-# One call in so many is sent wherever there is room. A backend server that was slow
-# or failed for a while gets no others, and would never be seen to have recovered.
+# So many calls are sent wherever there is room. A backend server that has been slow or
+# failing gets no others, and would never be seen to have recovered.
 EXPLORED = 0.02
 ROOM_TO_EXPLORE = 0.7
 
--- a/primroseglade/sidecar/deadlines.py
+++ b/primroseglade/sidecar/deadlines.py
@@ -1,7 +1,7 @@
 """Ends calls whose time is up, with one timer for all of them.
 
-`asyncio.timeout` makes a timer and three objects for each call, a twentieth of what a
-relayed call costs; of a thousand calls, one lasts until its time is up.
+`asyncio.timeout` makes a timer and three objects for each call, and hardly any call
+lasts until its time is up.
 """
 
 import asyncio
--- a/primroseglade/sidecar/frames.py
+++ b/primroseglade/sidecar/frames.py
@@ -1,8 +1,7 @@
 """Messages between nodes: msgpack in frames with a length, many calls on one stream.
 
-A unary call of gRPC costs both ends together 0.48 ms of processor time in this
-language, a message on an open stream 0.14 ms and less when several are written at
-once. A call crosses two nodes, and a tree of calls up to eleven times that.
+A unary call of gRPC costs both ends several times the processor time of a message on an
+open stream; a call crosses two nodes, and a tree of calls many times that.
 """
 
 import struct
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -12,7 +12,6 @@
     NODE_STOPPED,
     NODE_STOPPING,
     STORE_WRITE_FAILED,
-    ZONE_BYTES,
 )
 from ..supervisor import Supervisor
 from .admission import Admission
@@ -38,40 +37,29 @@
 from .own_calls import OwnCalls
 from .peer import Peer
 from .peer_server import PeerServer
+from .peer_watch import PeerWatch
 from .policy_keeper import PolicyKeeper, StoreError
 from .quota import Allowance, Quotas
 from .retry_budget import RetryBudget
 from .server_connection import Handler
 from .telling import Teller
-from .zone_bytes import ZoneBytes
+from .zone_bytes import tell_crossed, ZoneBytes
 from .zone_costs import ZoneCosts
 
 STORE_RETRY_SECONDS = 0.5
 STORE_TIMEOUT_SECONDS = 1.5
-# Callers are told of a stop by two readiness checks, a second apart; some more come
-# on connections that were being opened.
+# Callers are told of a stop by two readiness checks, a second apart; some more come on
+# connections that they are opening.
 LAME_DUCK_SECONDS = 3.2
 # Part of the grace after which callers that still come are served only if they must be
-# answered before the end: of six seconds the first 2.7. Users excuse what is cut off
-# of the first three only.
+# answered before the end. Users excuse what is cut off only of those that came early.
 CHOOSY_PART = 0.45
 IDLE_POLL_SECONDS = 0.05
-# Kept of the time that the platform gives, for the end of the process itself. With
-# 0.7 s three of some dozen processes on starved machines were killed before they had
-# ended; with a second and more, calls that were about to be answered would be cut.
+# Kept of the time that the platform gives, for the end of the process itself on a
+# starved machine; more would cut calls that are about to be answered.
 STOP_MARGIN_SECONDS = 0.85
 # An age that is not known is told as this one, some days: a message holds no infinity.
 LONGEST_AGE_SECONDS = 1e6
-# How often the log has what crossed to other zones, in seconds, and how much of it.
-CROSSED_SECONDS = 10.0
-CROSSED_LISTED = 12
-# How often peers are asked how old the configuration is, in seconds.
-WATCH_SECONDS = 0.5
-# How often streams are looked at for silence, in seconds.
-SILENCE_SECONDS = 0.1
-# A look that comes so late says that this process stood still, not that others are
-# silent: what they sent is still to be read.
-LATE_SECONDS = 0.1
 
 
 class NodeDialect(CallerDialect, BackendDialect, Protocol):
@@ -182,6 +170,9 @@
             self.meter,
             self._rng,
         )
+        self._peer_watch = PeerWatch(
+            settings.name, self.fleet, self.quotas, self.policies
+        )
         self._peer_server = PeerServer(settings.peers, self, self.dispatcher, journal)
         self._teller = Teller(
             self._entry,
@@ -324,9 +315,9 @@
             ("load", self._load_watch.run),
             ("state", self._teller.run),
             ("relay", self._teller.run_relay),
-            ("bytes", self._tell_crossed),
-            ("peers", self._watch_peers),
-            ("silence", self._watch_silence),
+            ("bytes", lambda: tell_crossed(self.crossed, self._journal)),
+            ("peers", self._peer_watch.run),
+            ("silence", self._peer_watch.run_silence),
         )
         for name, work in parts:
             self._supervisor.start(name, work)
@@ -410,34 +401,3 @@
 
     def _tell_all(self) -> None:
         self._teller.tell_all()
-
-    async def _watch_peers(self) -> None:
-        """Ask those who know how old the configuration is."""
-        while True:
-            await asyncio.sleep(WATCH_SECONDS)
-            now = time.monotonic()
-            self.quotas.forget_silent(now)
-            readers = self.fleet.list_readers()
-            own = self._settings.name
-            self.policies.set_rank(readers.index(own) if own in readers else None)
-            for name in readers:
-                peer = self.fleet.get(name)
-                if peer is not None:
-                    peer.ask_policy_age()
-
-    async def _tell_crossed(self) -> None:
-        """Log what crossed to other zones, again and again."""
-        while True:
-            await asyncio.sleep(CROSSED_SECONDS)
-            most = self.crossed.list_all()[:CROSSED_LISTED]
-            if most:
-                self._journal.emit(ZONE_BYTES, most=most)
-
-    async def _watch_silence(self) -> None:
-        """Look for streams on which nothing comes any more."""
-        while True:
-            due = time.monotonic() + SILENCE_SECONDS
-            await asyncio.sleep(SILENCE_SECONDS)
-            now = time.monotonic()
-            if now - due < LATE_SECONDS:
-                self.fleet.check_silence(now)
--- /dev/null
+++ b/primroseglade/sidecar/peer_watch.py
@@ -0,0 +1,55 @@
+"""Looks after the other nodes: who is silent, and who knows the configuration."""
+
+import asyncio
+import time
+
+from .fleet import Fleet
+from .policy_keeper import PolicyKeeper
+from .quota import Quotas
+
+# How often peers are asked how old the configuration is, in seconds.
+ASK_SECONDS = 0.5
+# How often streams are looked at for silence, in seconds.
+SILENCE_SECONDS = 0.1
+# A look that comes so late says that this process stood still, not that others are
+# silent: what they sent is still to be read.
+LATE_SECONDS = 0.1
+
+
+class PeerWatch:
+    """Two duties of a node towards the others.
+
+    Args:
+        node: This node's name.
+        fleet: The others.
+        quotas: Forgets what silent nodes told.
+        policies: Learns whether this node reads the store for others.
+    """
+
+    def __init__(self, node: str, fleet: Fleet, quotas: Quotas, policies: PolicyKeeper):
+        self._node = node
+        self._fleet = fleet
+        self._quotas = quotas
+        self._policies = policies
+
+    async def run(self) -> None:
+        """Ask those who know how old the configuration is, again and again."""
+        while True:
+            await asyncio.sleep(ASK_SECONDS)
+            self._quotas.forget_silent(time.monotonic())
+            readers = self._fleet.list_readers()
+            rank = readers.index(self._node) if self._node in readers else None
+            self._policies.set_rank(rank)
+            for name in readers:
+                peer = self._fleet.get(name)
+                if peer is not None:
+                    peer.ask_policy_age()
+
+    async def run_silence(self) -> None:
+        """Look for streams on which nothing comes any more, again and again."""
+        while True:
+            due = time.monotonic() + SILENCE_SECONDS
+            await asyncio.sleep(SILENCE_SECONDS)
+            now = time.monotonic()
+            if now - due < LATE_SECONDS:
+                self._fleet.check_silence(now)
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -23,17 +23,15 @@
 # more shows a restart.
 GIVEN_BACK = 50
 # With this part of a burst let through too much, shares let nothing through until the
-# rate has made up for it. With a whole burst, a window of 5 s came to 7.2 s of the
-# rate where 6.8 are allowed (three nodes, five times the rate at once).
+# rate has made up for it; with more of it, a window may hold more than is allowed.
 MOST_DEBT = 0.3
 # Calls that a workspace may ask for, by its rate. Where a service is overloaded, calls
-# are refused without a token, and a workspace at seven times its rate would take seven
-# times its part of what is let through. Ordinary callers that come back once stay
-# below.
+# are refused without a token, and a workspace far over its rate would take far more
+# than its part of what is let through. Ordinary callers that come back once stay below.
 MOST_ASKED = 1.5
 # So long ago, on average and a little more, others told what they let through. Where a
-# workspace asks several times its rate, that many calls of it are reckoned as spent:
-# without, ninety nodes spent each token of the fleet's bucket several times over.
+# workspace asks several times its rate, that many calls of it are reckoned as spent;
+# else many nodes spend each token of the fleet's bucket several times over.
 LAG_SECONDS = 0.3
 # A share's own bucket holds the tokens of so many seconds: short, as the fleet's
 # bucket is what smooths demand.
--- a/primroseglade/sidecar/zone_bytes.py
+++ b/primroseglade/sidecar/zone_bytes.py
@@ -1,10 +1,16 @@
 """What this node sent to other availability zones, where bytes are dear."""
 
+import asyncio
 import collections
 
+from ..observe.events import Journal, ZONE_BYTES
+
 # Routes that are counted by name; the rest is counted together.
 MOST_ROUTES = 200
 OTHER_ROUTES = "other"
+# How often the log has what crossed, in seconds, and how many lines of it.
+TELL_SECONDS = 10.0
+LINES_TOLD = 12
 
 
 class ZoneBytes:
@@ -35,3 +41,12 @@
     def list_all(self) -> list[tuple[str, str, int]]:
         """Return kind, route and bytes, the most bytes first."""
         return [(frame, route, n) for (frame, route), n in self._counts.most_common()]
+
+
+async def tell_crossed(crossed: ZoneBytes, journal: Journal) -> None:
+    """Log what crossed to other zones, again and again."""
+    while True:
+        await asyncio.sleep(TELL_SECONDS)
+        most = crossed.list_all()[:LINES_TOLD]
+        if most:
+            journal.emit(ZONE_BYTES, most=most)
