Begin no request whose caller has left already

Change: the work on a request begins one turn of the loop later, and a caller's end of sending cancels it at once. The test fails without.

--- a/primroseglade/sidecar/server_connection.py
+++ b/primroseglade/sidecar/server_connection.py
@@ -104,6 +104,7 @@
 
     def eof_received(self) -> bool:
         """Treat a caller that stops sending as one that left."""
+        self._pipeline.cancel()
         return False
 
     def data_received(self, data: bytes) -> None:
@@ -243,6 +244,9 @@
             exchange.task = loop.create_task(self._work(exchange))
 
     async def _work(self, exchange: Exchange) -> None:
+        # Lets the loop read on first. At a node that stood still, a caller's leaving
+        # is the next thing to be read, and its request must not be passed on.
+        await asyncio.sleep(0)
         try:
             exchange.reply = await self._server.handler(exchange.request)
         except Exception:
--- a/tests/test_mesh_pipelining.py
+++ b/tests/test_mesh_pipelining.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 
 import pytest
@@ -249,3 +250,16 @@
     assert pipeline.start_next(alone) is not None
     assert (pipeline.start_next(alone) is None) == alone
     assert pipeline.started == (1 if alone else 2)
+
+
+async def test_a_request_whose_caller_has_left_already_is_not_begun():
+    """A node without processor time read requests half a second after they had been
+    sent. Their callers had left, but that was to be read only after the requests, which
+    were passed on to backend servers meanwhile.
+    """
+    async with run_server() as bench:
+        for _ in range(5):
+            with socket.create_connection(parse_address(bench.address)) as caller:
+                caller.sendall(b"GET /left HTTP/1.1\r\nHost: a\r\n\r\n")
+        await asyncio.sleep(0.2)
+        assert bench.handler.started == []
