Let workspaces use their share at once after the whole fleet was started again

A node that starts again knows of no token when a workspace's first call comes, and each of 78 nodes sees a call of it in two seconds. Change: a share accrues from the node's start, and in its first six seconds a share of less than one call passes as often as it is worth; what is drawn is owed.

--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -122,6 +122,8 @@
         self.quotas = Quotas(
             settings.first_start,
             Allowance(settings.quota_overshoot, settings.quota_slack),
+            time.monotonic(),
+            self._rng,
         )
         self.admission = Admission(self._rng)
         self.graph = CallGraph()
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -10,6 +10,8 @@
 and they go on reckoning with it for as long as it may.
 """
 
+import random
+
 from .model import Tenant, Usage
 from .retry_budget import SlidingCount
 
@@ -107,10 +109,23 @@
         full: Whether a burst may be spent at once: not after a restart, since the
             tokens may have been spent just before it.
         allowance: Beyond the rate.
+        started: When this node started, on the loop's clock.
+        rng: Draws which calls pass where a share is less than one call.
     """
 
-    def __init__(self, now: float, full: bool, allowance: Allowance):
+    def __init__(
+        self,
+        now: float,
+        full: bool,
+        allowance: Allowance,
+        started: float,
+        rng: random.Random,
+    ):
         self._allowance = allowance
+        self._full = full
+        self._started = started
+        self._rng = rng
+        self._drawn = False
         self._tenant: Tenant | None = None
         self._demand = SlidingCount(DEMAND_SECONDS)
         self._since = now
@@ -126,6 +141,7 @@
         self._unseen = 0.0
         self._told = Usage(0.0, 0)
         self._limits: Tenant | None = None
+        self._first_refill = True
         self.admitted = 0
 
     def get_demand(self, now: float) -> float:
@@ -192,7 +208,15 @@
         if tenant.rate <= 0:
             return True
         assert self._fleet_tokens is not None
-        return self._fleet_tokens - self._unseen >= 1.0 or self._share_tokens >= 1.0
+        self._drawn = False
+        if self._fleet_tokens - self._unseen >= 1.0 or self._share_tokens >= 1.0:
+            return True
+        if now - self._started < FORGET_SECONDS and not self._full:
+            # A share of less than one call passes as often as it is worth. After a
+            # restart of the whole fleet no node knows of tokens, and many nodes that
+            # each wait for a whole one refuse most calls of a workspace.
+            self._drawn = self._rng.random() < self._share_tokens
+        return self._drawn
 
     def weigh(self, tenant: Tenant, now: float) -> float:
         """Return which part of its calls a workspace may ask for."""
@@ -206,7 +230,9 @@
         self.admitted += 1
         if self._fleet_tokens is not None:
             self._fleet_tokens -= 1.0
-        self._share_tokens = max(0.0, self._share_tokens - 1.0)
+        # What was drawn is owed.
+        least = -1.0 if self._drawn else min(0.0, self._share_tokens)
+        self._share_tokens = max(least, self._share_tokens - 1.0)
 
     def give_back(self, tenant: Tenant) -> None:
         """Take back one call that did not run after all."""
@@ -226,8 +252,15 @@
     def _refill(self, tenant: Tenant, nodes: int, now: float) -> None:
         span = now - self._refilled_at
         self._refilled_at = now
+        share = self._get_share(nodes, now)
+        most = max(1.0, tenant.rate * share * SHARE_BURST_SECONDS)
         if self._fleet_tokens is None:
             self._fleet_tokens = tenant.burst
+        elif self._first_refill:
+            # Since this node started, its share has accrued with nobody to spend it.
+            before = tenant.rate * (now - self._started) / max(1, nodes)
+            self._share_tokens = min(most, before)
+        self._first_refill = False
         demand = self.get_demand(now) + self._others_demand
         # What the others let through until they tell: all of their demand, or their
         # share of the rate if the demand is higher. Reckoned by what they let through
@@ -239,8 +272,6 @@
         # Below zero by a burst at the most: a debt is paid back, not kept for ever.
         self._fleet_tokens += gained
         self._fleet_tokens = min(tenant.burst, max(-tenant.burst, self._fleet_tokens))
-        share = self._get_share(nodes, now)
-        most = max(1.0, tenant.rate * share * SHARE_BURST_SECONDS)
         # What was let through too much, before nodes knew of each other's calls, is
         # paid back by all shares; else the window after it would be over the rate.
         most_debt = max(1.0, tenant.burst * MOST_DEBT)
@@ -262,11 +293,21 @@
     Args:
         first_start: Whether the whole fleet starts for the first time.
         allowance: Beyond the rates.
+        started: When this node started, on the loop's clock.
+        rng: Draws which calls pass where a share is less than one call.
     """
 
-    def __init__(self, first_start: bool, allowance: Allowance | None = None):
+    def __init__(
+        self,
+        first_start: bool,
+        allowance: Allowance | None = None,
+        started: float = 0.0,
+        rng: random.Random | None = None,
+    ):
         self._full = first_start
         self._allowance = allowance or Allowance()
+        self._started = started
+        self._rng = rng or random.Random()
         self._accounts: dict[str, Account] = {}
         self._heard_at: dict[str, float] = {}
 
@@ -348,5 +389,7 @@
     def _get(self, name: str, now: float) -> Account:
         account = self._accounts.get(name)
         if account is None:
-            account = self._accounts[name] = Account(now, self._full, self._allowance)
+            account = self._accounts[name] = Account(
+                now, self._full, self._allowance, self._started, self._rng
+            )
         return account
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -16,7 +16,14 @@
 SLACK = 20
 
 
-def play(nodes: int, rate: float, times: float, seconds: float, seed: int):
+def play(
+    nodes: int,
+    rate: float,
+    times: float,
+    seconds: float,
+    seed: int,
+    first_start: bool = True,
+):
     """Let calls of one workspace come to nodes that differ in demand.
 
     Args:
@@ -25,13 +32,15 @@
         times: Its demand, by its rate.
         seconds: For which calls come.
         seed: Of arrivals.
+        first_start: Whether the fleet starts for the first time; otherwise all of it
+            was just started again.
 
     Returns:
         The moments at which calls were let through, and the number of all calls.
     """
     rng = random.Random(seed)
     allowance = Allowance(OVERSHOOT - 1.0, SLACK)
-    fleet = [Quotas(True, allowance) for _ in range(nodes)]
+    fleet = [Quotas(first_start, allowance, rng=rng) for _ in range(nodes)]
     tenant = Tenant("north", 1, rate, rate)
     weights = [rng.uniform(0.5, 2.0) for _ in fleet]
     rates = [times * rate * weight / sum(weights) for weight in weights]
@@ -90,6 +99,29 @@
     assert len(admitted) >= 0.98 * calls
 
 
+@pytest.mark.parametrize(("nodes", "rate"), [(13, 60.0), (78, 45.0)])
+def test_workspaces_are_served_after_the_whole_fleet_started_again(
+    nodes: int, rate: float
+):
+    """All nodes of a fleet were killed at one moment. For three seconds after, nearly
+    all calls of all workspaces were refused as over their rate: a node knew of no
+    token when a workspace's first call came, and with eighty nodes each sees one call
+    of it in two seconds.
+    """
+    admitted, calls = play(nodes, rate, 0.65, 3.0, seed=1, first_start=False)
+    assert len(admitted) >= 0.75 * calls
+    assert sum(now < 1.0 for now in admitted) >= 0.5 * calls / 3.0
+
+
+@pytest.mark.parametrize(("nodes", "rate"), [(13, 60.0), (78, 45.0), (78, 300.0)])
+def test_a_restart_gives_no_second_burst(nodes: int, rate: float):
+    """A workspace had spent its burst when all nodes were killed; after the restart,
+    at several times its rate, it gets what its rate allows and no burst again.
+    """
+    admitted, _ = play(nodes, rate, 4.5, WINDOW_SECONDS, seed=2, first_start=False)
+    assert len(admitted) <= rate * WINDOW_SECONDS * OVERSHOOT + SLACK
+
+
 def test_nodes_hear_when_nothing_passes():
     """Nodes held back three tenths of a rate that all of them asked for: a node whose
     calls were all refused told nothing, and the others went on reckoning with what it
