--- a/primroseglade/sidecar/choice.py
+++ b/primroseglade/sidecar/choice.py
@@ -23,6 +23,11 @@
 # So much more or less does another zone cost for a single call: where a zone fills up,
 # nodes send a growing part of its calls away, and not all of them at one moment.
 PRICE_SPREAD = 0.15
+# This part of calls is sent wherever there is room. A backend server that has been slow
+# or failing gets no others, and would never be seen to have recovered.
+EXPLORED = 0.02
+# Part of its slots in use up to which a backend server has room for such a call.
+ROOM_TO_EXPLORE = 0.7
 
 
 class Candidate:
@@ -68,12 +73,6 @@
         self.below_ms = below_ms
 
 
-# So many calls are sent wherever there is room. A backend server that has been slow or
-# failing gets no others, and would never be seen to have recovered.
-EXPLORED = 0.02
-ROOM_TO_EXPLORE = 0.7
-
-
 def price_other_zone(target: float, size: float) -> float:
     """Return by how many milliseconds another availability zone has to be better.
 
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -142,7 +142,7 @@
         return chosen or self._find_suspect(places, tried, below)
 
     def _find_suspect(
-        self, places: "Places", tried: Collection[str], below: Costs
+        self, places: Places, tried: Collection[str], below: Costs
     ) -> Candidate | None:
         """Return a node that is silent, where no other serves a call."""
         for peer in places.near + places.far:
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -201,8 +201,8 @@
         tenant = self._choose_limits(tenant, settled)
         if tenant.rate > 0:
             # Before this call counts as demand. Where calls are rare, a share that
-            # includes the call at hand is several times the true one, and the sum over
-            # ninety nodes let through twice the rate.
+            # includes the call at hand is several times the true one, and so is the
+            # sum over many nodes.
             self._refill(tenant, nodes, now)
         self._demand.add(now)
         if tenant.rate <= 0:
@@ -264,7 +264,7 @@
         demand = self.get_demand(now) + self._others_demand
         # What the others let through until they tell: all of their demand, or their
         # share of the rate if the demand is higher. Reckoned by what they let through
-        # last, all nodes took the same tokens after each pause, and then none did.
+        # last, all nodes would take the same tokens after each pause, and then none.
         part = min(1.0, tenant.rate / max(demand, 1e-9))
         self._flow += part * span
         self._unseen = self._others_demand * (1.0 - part) * LAG_SECONDS
