Let the loop read on first only after this process stood still; cheaper sampling

Change: requests wait that turn only for half a second after a look of the peers' watch came 0.1 s late, which is when old requests are read; places are shuffled only where there are more than are looked at.

--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -1,6 +1,5 @@
 """All nodes as this one knows them, and who serves what."""
 
-import itertools
 import random
 import time
 from collections.abc import Collection, Iterator
@@ -130,7 +129,7 @@
         near = self._sample(places.near, NEAR_SAMPLE, tried, below, now)
         if own is not None and own.name not in tried:
             near.append(own)
-        least_far = min((below[zone] for zone in below if zone != self.zone), default=0)
+        least_far = min(below.values(), default=0.0)
         chosen = choose(
             near,
             lambda: self._sample(places.far, FAR_SAMPLE, tried, below, now),
@@ -160,8 +159,10 @@
     ) -> list[Candidate]:
         """Return some nodes that may be asked, others with each call."""
         found: list[Candidate] = []
-        start = self._rng.randrange(len(peers)) if len(peers) > 1 else 0
-        for peer in itertools.chain(peers[start:], peers[:start]):
+        if len(peers) > most:
+            start = int(self._rng.random() * len(peers))
+            peers = peers[start:] + peers[:start]
+        for peer in peers:
             if not peer.usable or peer.entry.name in tried or peer.is_suspect(now):
                 continue
             found.append(self._describe(peer, below))
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -186,7 +186,10 @@
             self._rng,
         )
         self._outbound = HttpServer(
-            settings.outbound, self.entry_point.handle, lambda: self.policies.limits
+            settings.outbound,
+            self.entry_point.handle,
+            lambda: self.policies.limits,
+            self._peer_watch.is_late,
         )
         self._ready = HttpServer(settings.ready, build_ready(self))
         self._control = HttpServer(settings.control, build_control(self))
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -120,8 +120,10 @@
 
     def is_suspect(self, now: float) -> bool:
         """Whether it was asked for a sign of life and nothing is heard."""
+        if not self._ping_id or not self._pending:
+            return False
         stream = self._stream
-        if stream is None or not self._ping_id or not self._pending:
+        if stream is None:
             return False
         unheard = stream.heard_at < self._ping_sent_at
         return unheard and now - self._ping_sent_at > SUSPECT_SECONDS
--- a/primroseglade/sidecar/peer_watch.py
+++ b/primroseglade/sidecar/peer_watch.py
@@ -14,6 +14,8 @@
 # A look that comes so late says that this process stood still, not that others are
 # silent: what they sent is still to be read.
 LATE_SECONDS = 0.1
+# For so long after that, what is read may be old.
+CATCH_UP_SECONDS = 0.5
 
 
 class PeerWatch:
@@ -31,6 +33,11 @@
         self._fleet = fleet
         self._quotas = quotas
         self._policies = policies
+        self._late_until = 0.0
+
+    def is_late(self) -> bool:
+        """Whether this process stood still a moment ago."""
+        return time.monotonic() < self._late_until
 
     async def run(self) -> None:
         """Ask those who know how old the configuration is, again and again."""
@@ -53,3 +60,5 @@
             now = time.monotonic()
             if now - due < LATE_SECONDS:
                 self._fleet.check_silence(now)
+            else:
+                self._late_until = now + CATCH_UP_SECONDS
--- a/primroseglade/sidecar/server_connection.py
+++ b/primroseglade/sidecar/server_connection.py
@@ -32,6 +32,10 @@
     def stopping(self) -> bool:
         """Whether connections end with their next answer."""
 
+    @property
+    def late(self) -> bool:
+        """Whether this process stood still, so that what it reads is old."""
+
     @property
     def limits(self) -> CallerLimits:
         """The bounds on callers in force."""
@@ -244,9 +248,11 @@
             exchange.task = loop.create_task(self._work(exchange))
 
     async def _work(self, exchange: Exchange) -> None:
-        # Lets the loop read on first. At a node that stood still, a caller's leaving
-        # is the next thing to be read, and its request must not be passed on.
-        await asyncio.sleep(0)
+        if self._server.late:
+            # Lets the loop read on first. At a node that stood still, a caller's
+            # leaving is the next thing to be read, and its request must not be
+            # passed on.
+            await asyncio.sleep(0)
         try:
             exchange.reply = await self._server.handler(exchange.request)
         except Exception:
