--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -241,9 +241,8 @@
         whole = False
         self._own_calls.note_start(call.route, started)
         try:
-            # It may have left while the call waited, or this node stood still.
+            # It may have left while the call waited.
             self._check_instance(call)
-            _check_time(deadline)
             served = await self._exchange(call, deadline)
             whole = True
             return served
--- a/primroseglade/sidecar/http_server.py
+++ b/primroseglade/sidecar/http_server.py
@@ -23,7 +23,10 @@
         address: ``IP:PORT``.
         handler: Answers one request; cancelled when the caller leaves.
         get_limits: Returns the bounds on callers in force.
-        is_late: Tells whether this process stood still a moment ago.
+
+    Attributes:
+        late: Whether this process stood still a moment ago, so that what it reads is
+            old.
     """
 
     def __init__(
@@ -31,12 +34,11 @@
         address: str,
         handler: Handler,
         get_limits: Callable[[], CallerLimits] = CallerLimits,
-        is_late: Callable[[], bool] = lambda: False,
     ):
         self._address = address
         self._handler = handler
         self._get_limits = get_limits
-        self._is_late = is_late
+        self.late = False
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._stopping = False
@@ -46,11 +48,6 @@
         """Whether answers ask callers to open no further request here."""
         return self._stopping
 
-    @property
-    def late(self) -> bool:
-        """Whether this process stood still, so that what it reads is old."""
-        return self._is_late()
-
     @property
     def limits(self) -> CallerLimits:
         """The bounds on callers in force."""
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -173,7 +173,7 @@
             self._rng,
         )
         self._peer_watch = PeerWatch(
-            settings.name, self.fleet, self.quotas, self.policies
+            settings.name, self.fleet, self.quotas, self.policies, self._note_late
         )
         self._peer_server = PeerServer(settings.peers, self, self.dispatcher, journal)
         self._teller = Teller(
@@ -189,7 +189,6 @@
             settings.outbound,
             self.entry_point.handle,
             lambda: self.policies.limits,
-            self._peer_watch.is_late,
         )
         self._ready = HttpServer(settings.ready, build_ready(self))
         self._control = HttpServer(settings.control, build_control(self))
@@ -404,5 +403,8 @@
         target = route.target_latency if route is not None else 0.0
         return price_other_zone(target, self.answer_sizes.expect(name))
 
+    def _note_late(self, late: bool) -> None:
+        self._outbound.late = late
+
     def _tell_all(self) -> None:
         self._teller.tell_all()
--- a/primroseglade/sidecar/peer_watch.py
+++ b/primroseglade/sidecar/peer_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 from .fleet import Fleet
 from .policy_keeper import PolicyKeeper
@@ -26,19 +27,24 @@
         fleet: The others.
         quotas: Forgets what silent nodes told.
         policies: Learns whether this node reads the store for others.
+        note_late: Told whether this process stood still a moment ago.
     """
 
-    def __init__(self, node: str, fleet: Fleet, quotas: Quotas, policies: PolicyKeeper):
+    def __init__(
+        self,
+        node: str,
+        fleet: Fleet,
+        quotas: Quotas,
+        policies: PolicyKeeper,
+        note_late: Callable[[bool], None],
+    ):
         self._node = node
         self._fleet = fleet
         self._quotas = quotas
         self._policies = policies
+        self._note_late = note_late
         self._late_until = 0.0
 
-    def is_late(self) -> bool:
-        """Whether this process stood still a moment ago."""
-        return time.monotonic() < self._late_until
-
     async def run(self) -> None:
         """Ask those who know how old the configuration is, again and again."""
         while True:
@@ -62,3 +68,4 @@
                 self._fleet.check_silence(now)
             else:
                 self._late_until = now + CATCH_UP_SECONDS
+            self._note_late(now < self._late_until)
--- a/primroseglade/sidecar/pipeline.py
+++ b/primroseglade/sidecar/pipeline.py
@@ -29,20 +29,20 @@
 
 
 class Pipeline:
-    """What is to be started, what is under way, and what may be sent."""
+    """What is to be started, what is under way, and what may be sent.
 
-    def __init__(self) -> None:
-        self._exchanges: collections.deque[Exchange] = collections.deque()
-        self._started = 0
+    Attributes:
+        size: Requests that are not answered yet.
+        started: Those of them that are worked on, or whose answer waits for an
+            earlier one.
+    """
 
-    def __len__(self) -> int:
-        """Requests that are not answered yet."""
-        return len(self._exchanges)
+    __slots__ = ("_exchanges", "size", "started")
 
-    @property
-    def started(self) -> int:
-        """Requests that are worked on, or whose answer waits for an earlier one."""
-        return self._started
+    def __init__(self) -> None:
+        self._exchanges: collections.deque[Exchange] = collections.deque()
+        self.size = 0
+        self.started = 0
 
     @property
     def ends(self) -> bool:
@@ -52,6 +52,7 @@
     def add(self, request: Request) -> None:
         """Take in a request."""
         self._exchanges.append(Exchange(request))
+        self.size += 1
 
     def start_next(self, alone: bool = False) -> Exchange | None:
         """Return a request to work on now, None if none may be started.
@@ -61,19 +62,20 @@
                 end with the next answer, and callers take what was sent behind that
                 answer as not read.
         """
-        if self._started == len(self._exchanges):
+        if self.started == self.size:
             return None
-        if self._started and (alone or not self._may_join()):
+        if self.started and (alone or not self._may_join()):
             return None
-        exchange = self._exchanges[self._started]
-        self._started += 1
+        exchange = self._exchanges[self.started]
+        self.started += 1
         return exchange
 
     def take_answered(self) -> Exchange | None:
         """Return the first request if it has its answer, and forget it."""
         if not self._exchanges or self._exchanges[0].reply is None:
             return None
-        self._started -= 1
+        self.size -= 1
+        self.started -= 1
         return self._exchanges.popleft()
 
     def cancel(self) -> None:
@@ -82,12 +84,13 @@
             if exchange.task is not None:
                 exchange.task.cancel()
         self._exchanges.clear()
-        self._started = 0
+        self.size = 0
+        self.started = 0
 
     def _may_join(self) -> bool:
         """Whether the next request may be worked on beside those under way."""
-        if self._started >= AT_ONCE:
+        if self.started >= AT_ONCE:
             return False
-        last = self._exchanges[self._started - 1].request
-        following = self._exchanges[self._started].request
+        last = self._exchanges[self.started - 1].request
+        following = self._exchanges[self.started].request
         return last.method in SAFE_METHODS and following.method in SAFE_METHODS
--- a/primroseglade/sidecar/server_connection.py
+++ b/primroseglade/sidecar/server_connection.py
@@ -26,16 +26,18 @@
 
 
 class Listener(Protocol):
-    """What a connection needs of the server that accepted it."""
+    """What a connection needs of the server that accepted it.
+
+    Attributes:
+        late: Whether this process stood still, so that what it reads is old.
+    """
+
+    late: bool
 
     @property
     def stopping(self) -> bool:
         """Whether connections end with their next answer."""
 
-    @property
-    def late(self) -> bool:
-        """Whether this process stood still, so that what it reads is old."""
-
     @property
     def limits(self) -> CallerLimits:
         """The bounds on callers in force."""
@@ -60,8 +62,10 @@
         "_current",
         "_headers",
         "_lingering",
+        "_loop",
         "_method",
         "_parser",
+        "_paused",
         "_peer",
         "_pipeline",
         "_server",
@@ -74,11 +78,13 @@
 
     def __init__(self, server: Listener):
         self._server = server
+        self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._pipeline = Pipeline()
         self._current = False
         self._lingering = False
+        self._paused = False
         self._since = time.monotonic()
         self._peer = ""
         self._too_large = 0
@@ -88,7 +94,7 @@
     @property
     def busy(self) -> bool:
         """Whether a request is being read or answered."""
-        return not self._lingering and (self._current or len(self._pipeline) > 0)
+        return not self._lingering and (self._current or self._pipeline.size > 0)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the connection's options."""
@@ -115,7 +121,7 @@
         """Parse what came."""
         if self._too_large or self._lingering:
             return
-        if not self.busy:
+        if not self._current and not self._pipeline.size:
             self._since = time.monotonic()
         self._chunk = len(data)
         try:
@@ -178,11 +184,13 @@
         )
         self._current = False
         self._body = []
-        if self._pipeline.ends:
+        pipeline = self._pipeline
+        if pipeline.size and pipeline.ends:
             # The caller itself said that nothing follows.
             return
-        self._pipeline.add(request)
-        if len(self._pipeline) >= READ_AHEAD and self._transport is not None:
+        pipeline.add(request)
+        if pipeline.size >= READ_AHEAD and self._transport is not None:
+            self._paused = True
             self._transport.pause_reading()
         self._start()
 
@@ -193,7 +201,7 @@
             if now - self._since > LINGER_SECONDS:
                 self.close()
             return
-        if len(self._pipeline):
+        if self._pipeline.size:
             return
         if self._current:
             # A body may take longer than a head, but not without end.
@@ -230,7 +238,7 @@
     def _refuse_malformed(self, status: int) -> None:
         """Answer bytes that are no acceptable request, and end the connection."""
         self._too_large = status
-        if len(self._pipeline):
+        if self._pipeline.size:
             # What was asked before is answered first; no further request is read.
             return
         head = render_status_line(status)
@@ -243,9 +251,12 @@
 
     def _start(self) -> None:
         """Start the work on what may be worked on now."""
-        loop = asyncio.get_running_loop()
-        while exchange := self._pipeline.start_next(alone=self._server.stopping):
-            exchange.task = loop.create_task(self._work(exchange))
+        pipeline = self._pipeline
+        while pipeline.started < pipeline.size:
+            exchange = pipeline.start_next(alone=self._server.stopping)
+            if exchange is None:
+                return
+            exchange.task = self._loop.create_task(self._work(exchange))
 
     async def _work(self, exchange: Exchange) -> None:
         if self._server.late:
@@ -263,17 +274,22 @@
 
     def _send_answered(self) -> None:
         """Send the answers whose turn it is."""
-        while exchange := self._pipeline.take_answered():
+        pipeline = self._pipeline
+        while pipeline.size:
+            exchange = pipeline.take_answered()
+            if exchange is None:
+                break
             self._since = time.monotonic()
             assert exchange.reply is not None
             if not self._send(exchange.request, exchange.reply):
                 self._finish()
                 return
-        if self._too_large and not len(self._pipeline):
+        if not pipeline.size and self._too_large:
             self._finish()
             return
         self._start()
-        if len(self._pipeline) < READ_AHEAD and self._transport is not None:
+        if self._paused and pipeline.size < READ_AHEAD and self._transport is not None:
+            self._paused = False
             self._transport.resume_reading()
 
     def _send(self, request: Request, reply: Reply) -> bool:
--- a/tests/test_mesh_pipelining.py
+++ b/tests/test_mesh_pipelining.py
@@ -78,7 +78,8 @@
     """Run a server whose answers a test lets go."""
     handler = Handler()
     address = find_address()
-    server = HttpServer(address, handler, is_late=lambda: late)
+    server = HttpServer(address, handler)
+    server.late = late
     task = asyncio.create_task(server.run())
     await asyncio.sleep(0.05)
     try:
