Read on before the first request of a connection, too

A request sent at 16.148 s was given up unread at 17.148 s and passed on at 18.218 s: its connection had been accepted late by a node that ran, with the caller's end right behind the request. Change: requests of a new connection wait that turn until its first answer. Each of both guards was taken out: a test of its own fails.

--- a/primroseglade/sidecar/server_connection.py
+++ b/primroseglade/sidecar/server_connection.py
@@ -60,6 +60,7 @@
         "_body",
         "_chunk",
         "_current",
+        "_fresh",
         "_headers",
         "_lingering",
         "_loop",
@@ -85,6 +86,7 @@
         self._current = False
         self._lingering = False
         self._paused = False
+        self._fresh = True
         self._since = time.monotonic()
         self._peer = ""
         self._too_large = 0
@@ -259,10 +261,10 @@
             exchange.task = self._loop.create_task(self._work(exchange))
 
     async def _work(self, exchange: Exchange) -> None:
-        if self._server.late:
-            # Lets the loop read on first. At a node that stood still, a caller's
-            # leaving is the next thing to be read, and its request must not be
-            # passed on.
+        if self._fresh or self._server.late:
+            # Lets the loop read on first. Where a connection was accepted late, or
+            # this process stood still, the caller's leaving may be the next thing to
+            # be read, and its request must not be passed on.
             await asyncio.sleep(0)
         try:
             exchange.reply = await self._server.handler(exchange.request)
@@ -279,6 +281,7 @@
             exchange = pipeline.take_answered()
             if exchange is None:
                 break
+            self._fresh = False
             self._since = time.monotonic()
             assert exchange.reply is not None
             if not self._send(exchange.request, exchange.reply):
--- a/tests/test_mesh_pipelining.py
+++ b/tests/test_mesh_pipelining.py
@@ -254,13 +254,27 @@
 
 
 async def test_a_request_whose_caller_has_left_already_is_not_begun():
-    """A node without processor time read requests half a second after they had been
-    sent. Their callers had left, but that was to be read only after the requests, which
-    were passed on to backend servers meanwhile.
+    """A node without processor time accepted connections seconds after they had been
+    opened. Their callers had left, but that was to be read only after the requests,
+    which were passed on to backend servers meanwhile.
     """
-    async with run_server(late=True) as bench:
+    async with run_server() as bench:
         for _ in range(5):
             with socket.create_connection(parse_address(bench.address)) as caller:
                 caller.sendall(b"GET /left HTTP/1.1\r\nHost: a\r\n\r\n")
         await asyncio.sleep(0.2)
         assert bench.handler.started == []
+
+
+async def test_a_kept_connection_of_a_caller_that_left_is_read_to_its_end():
+    """The same on a connection that had served before, at a node that stood still."""
+    async with run_server(late=True) as bench:
+        bench.handler.open(b"/before")
+        with socket.create_connection(parse_address(bench.address)) as caller:
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(caller, b"GET /before HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert await loop.sock_recv(caller, 1000)
+            caller.send(b"GET /left HTTP/1.1\r\nHost: a\r\n\r\n")
+        await asyncio.sleep(0.2)
+        assert bench.handler.started == [b"/before"]
