--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -12,6 +12,7 @@
 from .choice import Candidate, price_failure, price_other_zone
 from .fleet import Fleet
 from .frames import Call
+from .http_messages import FIRST_FAILURE
 from .meter import Meter
 from .model import Route
 from .retry_budget import RetryBudget
@@ -25,8 +26,6 @@
 # request makes several of them, and one that fails again ends it all the same. The
 # budget of repeats is left to callers' own requests.
 MOST_FAILING = 0.2
-# Statuses from here on are failures of the backend server, HTTP's server errors.
-FIRST_FAILURE = 500
 # A call that a backend server makes is worth waiting for: to refuse it throws away
 # the work above it. So long it waits before it looks again who serves it, in seconds,
 # and twice as long each time.
--- a/primroseglade/sidecar/http_messages.py
+++ b/primroseglade/sidecar/http_messages.py
@@ -2,6 +2,9 @@
 
 from http import HTTPStatus
 
+# Statuses from here on are failures of the backend server, HTTP's server errors.
+FIRST_FAILURE = 500
+
 RawHeaders = list[tuple[bytes, bytes]]
 
 PHRASES = {
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -26,6 +26,7 @@
     State,
     States,
 )
+from .http_messages import FIRST_FAILURE
 from .model import NodeEntry, NodeState
 from .streams import FrameStream
 from .zone_bytes import ZoneBytes
@@ -45,8 +46,6 @@
 LONGEST_RETRY_SECONDS = 2.0
 # Weight of a call's end in the share that fails there, about the last 30 calls.
 FAILURE_SMOOTHING = 1 / 32
-# Statuses from here on are failures of the backend server, HTTP's server errors.
-FIRST_FAILURE = 500
 # A node that could not be reached for so long is forgotten. Longer than restarts and
 # cuts last; one that comes back introduces itself.
 FORGET_SECONDS = 120.0
