Measure the way between two nodes from a stream's first frame on

Its four calls before may all go to one of two nodes; the held-up call then is the first on the other stream, which had no earlier call to measure its way by, and ran. The fault is the node's, not only the test's: the first call after each new stream had no guard.

Ruled out: the clock that the test shifts (read at each call), and the answer of the own backend server (the node asked serves another service).

Change: pings, of which each stream carries one right behind its first frame, tell their sender's clock, too. Besides, a line of code that had slipped into a module's text.

--- a/primroseglade/sidecar/frames.py
+++ b/primroseglade/sidecar/frames.py
@@ -33,9 +33,15 @@
 
 
 class Ping(msgspec.Struct, array_like=True, tag=2):
-    """Asks at once how old the receiver's knowledge of the configuration is."""
+    """Asks at once how old the receiver's knowledge of the configuration is.
+
+    Attributes:
+        id: Repeated by the answer.
+        sent_ms: Milliseconds on the sender's clock; it agrees with no other.
+    """
 
     id: int
+    sent_ms: int = 0
 
 
 class Pong(msgspec.Struct, array_like=True, tag=3):
--- a/primroseglade/sidecar/http_client.py
+++ b/primroseglade/sidecar/http_client.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 towards one address: an exchange that tells what may have happened.
 
 It is the project's own because of what it must tell apart: an answer that is whole
-import time
 from one that broke off, and the answer to this request from a late one to another.
 """
 
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -221,7 +221,7 @@
         self._ping_id = self._last_id
         self._ping_sent_at = now
         self._ping_asked_at = read_age_clock()
-        self._send(Ping(self._ping_id))
+        self._send(Ping(self._ping_id, int(self._ping_asked_at * 1000)))
 
     def check_silence(self, now: float) -> None:
         """Ask a stream that is silent while calls wait, and give up one that stays so.
--- a/primroseglade/sidecar/peer_server.py
+++ b/primroseglade/sidecar/peer_server.py
@@ -136,7 +136,10 @@
     def _receive(self, stream: FrameStream, frame: Frame) -> None:
         tasks = self._streams.setdefault(stream, {})
         if isinstance(frame, Call):
-            self._count_transit(stream, frame)
+            # What it waited on its way is gone from its caller's time.
+            waited = self._measure_transit(stream, frame.sent_ms) * 1000
+            frame.remaining_ms -= waited
+            frame.target_ms -= waited
             task = self._loop.create_task(self._serve(stream, frame))
             tasks[frame.id] = task
             task.add_done_callback(lambda _: tasks.pop(frame.id, None))
@@ -145,6 +148,8 @@
             if task is not None:
                 task.cancel()
         elif isinstance(frame, Ping):
+            # Each stream begins with one, so that its first call has a measure.
+            self._measure_transit(stream, frame.sent_ms)
             answer = self._host.build_policy_answer(frame.id)
             stream.send(Pong(frame.id, answer.version, answer.age_ms))
         elif isinstance(frame, Hello):
@@ -160,14 +165,12 @@
             self._host.note_drain(frame.instance, frame.born)
             stream.send(DrainNoted(frame.id))
 
-    def _count_transit(self, stream: FrameStream, call: Call) -> None:
-        """Take from a call's time what it waited on its way."""
+    def _measure_transit(self, stream: FrameStream, sent_ms: int) -> float:
+        """Return for how many seconds a frame waited on its way."""
         transit = self._transits.get(stream)
         if transit is None:
             transit = self._transits[stream] = Transit()
-        waited = transit.measure(call.sent_ms / 1000, read_age_clock()) * 1000
-        call.remaining_ms -= waited
-        call.target_ms -= waited
+        return transit.measure(sent_ms / 1000, read_age_clock())
 
     def _note_lost(self, stream: FrameStream, reason: str) -> None:
         self._greeted.pop(stream, None)
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -323,3 +323,16 @@
     answer = await ask(mesh.places[0], "/once/a", "held-up", method="POST")
     assert answer.status == 503
     assert not any("held-up" in place.backend.ran for place in mesh.places)
+
+
+async def test_the_first_call_on_a_stream_that_was_held_up_does_not_run(
+    mesh: Mesh, monkeypatch: pytest.MonkeyPatch
+):
+    """A backend server worked for a caller that had left: the call was the first from
+    its node to the other, and there was no earlier call to tell the wait by.
+    """
+    monkeypatch.setattr(peer, "read_age_clock", lambda: read_age_clock() - 5.0)
+    for number in range(8):
+        answer = await ask(mesh.places[0], "/once/a", f"first-{number}", method="POST")
+        assert answer.status == 503
+    assert not any(place.backend.ran for place in mesh.places)
