Do a node's periodic duties in one wake

Change: a ticker runs the duties in their order, four times a second. Silence is looked for as often only while no call waits. Age is looked at when it can be due.

--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -15,8 +15,6 @@
 
 from .retry_budget import SlidingCount
 
-# How often levels are set, in seconds: twice for each state that is told.
-STEP_SECONDS = 0.25
 # Of what backend servers get done, what is let through: some calls are repeated, and a
 # service with no room at all makes each of them wait.
 FULL = 0.95
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -130,6 +130,11 @@
         self._journal.emit(PEER_LEARNT, peer=entry.name, address=entry.address)
         self._supervisor.start(f"peer {entry.name}", lambda: self._run(peer))
 
+    @property
+    def waits(self) -> bool:
+        """Whether calls wait for an answer of another node."""
+        return any(peer.waits for peer in self._peers.values())
+
     def check_silence(self, now: float) -> None:
         """Look for streams on which nothing comes any more."""
         for peer in list(self._peers.values()):
--- a/primroseglade/sidecar/load_watch.py
+++ b/primroseglade/sidecar/load_watch.py
@@ -1,10 +1,7 @@
 """Looks at how busy services are, and sets what admission goes by."""
 
-import asyncio
-import time
-
 from ..observe.events import Journal, LEVELS_SET
-from .admission import Admission, Load, STEP_SECONDS
+from .admission import Admission, Load
 from .backend import Backend
 from .call_graph import CallGraph
 from .choice import estimate_trouble
@@ -57,18 +54,15 @@
         self._graph_built_at = 0.0
         self.occupied_lately = 0.0
 
-    async def run(self) -> None:
-        """Look again and again."""
-        while True:
-            await asyncio.sleep(STEP_SECONDS)
-            now = time.monotonic()
-            survey = self._survey(now)
-            self._admission.update(survey.loads, survey.demand, now)
-            self._tell_levels(survey, now)
-            self._zone_costs.refresh(survey.cheapest)
-            if now - self._graph_built_at > GRAPH_SECONDS:
-                self._graph_built_at = now
-                self._rebuild_graph(now)
+    def look(self, now: float) -> None:
+        """Look once, at every step of the ticker."""
+        survey = self._survey(now)
+        self._admission.update(survey.loads, survey.demand, now)
+        self._tell_levels(survey, now)
+        self._zone_costs.refresh(survey.cheapest)
+        if now - self._graph_built_at > GRAPH_SECONDS:
+            self._graph_built_at = now
+            self._rebuild_graph(now)
 
     def _survey(self, now: float) -> Survey:
         """Return what the other nodes told, with this node's part."""
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -37,13 +37,14 @@
 from .own_calls import OwnCalls
 from .peer import Peer
 from .peer_server import PeerServer
-from .peer_watch import PeerWatch
+from .peer_watch import ASK_SECONDS, PeerWatch
 from .policy_keeper import PolicyKeeper, StoreError
 from .quota import Allowance, Quotas
 from .retry_budget import RetryBudget
 from .server_connection import Handler
-from .telling import Teller
-from .zone_bytes import tell_crossed, ZoneBytes
+from .telling import TELL_SECONDS, Teller
+from .ticker import Ticker
+from .zone_bytes import BYTES_SECONDS, tell_crossed, ZoneBytes
 from .zone_costs import ZoneCosts
 
 STORE_RETRY_SECONDS = 0.5
@@ -183,8 +184,8 @@
             self._build_load,
             self.quotas,
             self.own_calls,
-            self._rng,
         )
+        self._ticker = self._build_ticker()
         self._outbound = HttpServer(
             settings.outbound,
             self.entry_point.handle,
@@ -316,11 +317,7 @@
             ("policy", self.policies.follow),
             ("policy age", self.policies.confirm),
             ("introduction", self._introduce),
-            ("load", self._load_watch.run),
-            ("state", self._teller.run),
-            ("relay", self._teller.run_relay),
-            ("bytes", lambda: tell_crossed(self.crossed, self._journal)),
-            ("peers", self._peer_watch.run),
+            ("ticker", self._ticker.run),
             ("silence", self._peer_watch.run_silence),
         )
         for name, work in parts:
@@ -332,6 +329,15 @@
             first_start=self._settings.first_start,
         )
 
+    def _build_ticker(self) -> Ticker:
+        ticker = Ticker(self._rng)
+        ticker.add(self._load_watch.look)
+        ticker.add(self._teller.hand_on_waiting)
+        ticker.add(self._teller.tell, TELL_SECONDS)
+        ticker.add(self._peer_watch.ask, ASK_SECONDS)
+        ticker.add(lambda _: tell_crossed(self.crossed, self._journal), BYTES_SECONDS)
+        return ticker
+
     async def _stop(self) -> None:
         """Stop without cutting a call off.
 
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -117,6 +117,11 @@
         """Whether its backend server takes calls that can be sent there."""
         return bool(self.state.instance) and self.connected
 
+    @property
+    def waits(self) -> bool:
+        """Whether calls wait for its answer."""
+        return bool(self._pending)
+
     def is_suspect(self, now: float) -> bool:
         """Whether it was asked for a sign of life and nothing is heard."""
         if not self._ping_id or not self._pending:
--- a/primroseglade/sidecar/peer_watch.py
+++ b/primroseglade/sidecar/peer_watch.py
@@ -8,15 +8,15 @@
 from .policy_keeper import PolicyKeeper
 from .quota import Quotas
 
-# How often peers are asked how old the configuration is, in seconds, and how often
-# those ask each other whom the rest asks.
+# How often peers are asked how old the configuration is, in seconds.
 ASK_SECONDS = 0.5
-READER_ASK_SECONDS = 0.25
 # While its knowledge is younger, a node asks in its own availability zone only. Older
 # than those know who ask each other, younger than what sends nodes to the store.
 FRESH_SECONDS = 1.2
-# How often streams are looked at for silence, in seconds.
+# How often streams are looked at for silence, in seconds, while calls wait for answers;
+# and while none do, to see whether this process stood still.
 SILENCE_SECONDS = 0.1
+IDLE_SILENCE_SECONDS = 0.25
 # A look that comes so late says that this process stood still, not that others are
 # silent: what they sent is still to be read.
 LATE_SECONDS = 0.1
@@ -50,21 +50,13 @@
         self._note_late = note_late
         self._late_until = 0.0
 
-    async def run(self) -> None:
-        """Ask those who know how old the configuration is, again and again."""
-        pause = ASK_SECONDS
-        while True:
-            await asyncio.sleep(pause)
-            self._quotas.forget_silent(time.monotonic())
-            readers = self._fleet.list_readers()
-            rank = readers.index(self._node) if self._node in readers else None
-            self._policies.set_rank(rank)
-            pause = ASK_SECONDS if rank is None else READER_ASK_SECONDS
-            self._ask(readers, everywhere=rank is not None)
-
-    def _ask(self, readers: list[str], everywhere: bool) -> None:
+    def ask(self, now: float) -> None:
         """Ask how old the configuration is: near, and farther where that is no use."""
-        everywhere = everywhere or self._policies.age > FRESH_SECONDS
+        self._quotas.forget_silent(now)
+        readers = self._fleet.list_readers()
+        rank = readers.index(self._node) if self._node in readers else None
+        self._policies.set_rank(rank)
+        everywhere = rank is not None or self._policies.age > FRESH_SECONDS
         for name in readers:
             peer = self._fleet.get(name)
             if peer is None:
@@ -75,8 +67,9 @@
     async def run_silence(self) -> None:
         """Look for streams on which nothing comes any more, again and again."""
         while True:
-            due = time.monotonic() + SILENCE_SECONDS
-            await asyncio.sleep(SILENCE_SECONDS)
+            pause = SILENCE_SECONDS if self._fleet.waits else IDLE_SILENCE_SECONDS
+            due = time.monotonic() + pause
+            await asyncio.sleep(pause)
             now = time.monotonic()
             if now - due < LATE_SECONDS:
                 self._fleet.check_silence(now)
--- a/primroseglade/sidecar/policy_keeper.py
+++ b/primroseglade/sidecar/policy_keeper.py
@@ -28,7 +28,7 @@
 # two seconds are over within which a configuration must be in force.
 LONE_READ_AGE_SECONDS = 1.5
 READ_SPREAD_SECONDS = 0.4
-# A node that hears nothing from peers asks the store itself, as often as this.
+# A node that hears nothing from peers asks the store itself, no more often than this.
 CHECK_SECONDS = 0.2
 # How long a read waits in the store for news. Long waits cost few calls.
 NEWS_WAIT_SECONDS = 20.0
@@ -177,7 +177,9 @@
     async def confirm(self) -> None:
         """Ask the store whether there is news when nobody else has lately."""
         while True:
-            await asyncio.sleep(CHECK_SECONDS)
+            # What is known grows old by a second a second at the most.
+            due = min(self._read_age - self.age, LONE_READ_AGE_SECONDS)
+            await asyncio.sleep(max(CHECK_SECONDS, due))
             if self.age < self._read_age or self._next_offset is None:
                 continue
             self._read_age = self._draw_read_age()
--- a/primroseglade/sidecar/telling.py
+++ b/primroseglade/sidecar/telling.py
@@ -6,8 +6,6 @@
 in it: so it gets some a second, however many nodes there are.
 """
 
-import asyncio
-import random
 import time
 from collections.abc import Callable
 
@@ -20,8 +18,6 @@
 
 # Every node tells its state this often, so that it is younger than what it decides.
 TELL_SECONDS = 0.5
-# How long states of other zones are gathered before they are handed on.
-RELAY_SECONDS = 0.25
 # Up to so many nodes tell each other directly: it is faster by the time of gathering,
 # and up to here costs a node less than a hundredth of its processor.
 DIRECT_NODES = 24
@@ -61,7 +57,6 @@
         build_load: Returns the state but for calls and use.
         quotas: For the use of workspaces.
         own_calls: What the own backend server calls.
-        rng: Spreads the moments of telling.
     """
 
     def __init__(
@@ -72,7 +67,6 @@
         build_load: Callable[[], NodeState],
         quotas: Quotas,
         own_calls: OwnCalls,
-        rng: random.Random,
     ):
         self._entry = entry
         self._fleet = fleet
@@ -80,7 +74,6 @@
         self._build_load = build_load
         self._quotas = quotas
         self._own_calls = own_calls
-        self._rng = rng
         self._relay = Relay()
         # Above all that a former life of this node told, as its entry is newer.
         self._sequence = entry.started
@@ -105,22 +98,14 @@
         # A copy: what waits is added to, and the original is what this node knows.
         self._relay.add(name, state.copy())
 
-    async def run(self) -> None:
-        """Tell the state again and again."""
-        while True:
-            # Spread, so that nodes started together do not all wake at once.
-            await asyncio.sleep(TELL_SECONDS * self._rng.uniform(0.9, 1.1))
-            self._tell()
-
-    async def run_relay(self) -> None:
-        """Hand on what other nodes told, again and again."""
-        while True:
-            await asyncio.sleep(RELAY_SECONDS)
-            waiting = self._relay.take()
-            if waiting:
-                self._server.send(States(waiting), self._is_neighbour)
-
-    def _tell(self) -> None:
+    def hand_on_waiting(self, now: float) -> None:
+        """Hand on what other nodes told since the last time."""
+        waiting = self._relay.take()
+        if waiting:
+            self._server.send(States(waiting), self._is_neighbour)
+
+    def tell(self, now: float) -> None:
+        """Tell the state."""
         if len(self._fleet) <= DIRECT_NODES:
             self.tell_all()
             return
--- a/primroseglade/sidecar/zone_bytes.py
+++ b/primroseglade/sidecar/zone_bytes.py
@@ -1,6 +1,5 @@
 """What this node sent to other availability zones, where bytes are dear."""
 
-import asyncio
 import collections
 
 from ..observe.events import Journal, ZONE_BYTES
@@ -9,7 +8,7 @@
 MOST_ROUTES = 200
 OTHER_ROUTES = "other"
 # How often the log has what crossed, in seconds, and how many lines of it.
-TELL_SECONDS = 10.0
+BYTES_SECONDS = 10.0
 LINES_TOLD = 12
 
 
@@ -43,10 +42,8 @@
         return [(frame, route, n) for (frame, route), n in self._counts.most_common()]
 
 
-async def tell_crossed(crossed: ZoneBytes, journal: Journal) -> None:
-    """Log what crossed to other zones, again and again."""
-    while True:
-        await asyncio.sleep(TELL_SECONDS)
-        most = crossed.list_all()[:LINES_TOLD]
-        if most:
-            journal.emit(ZONE_BYTES, most=most)
+def tell_crossed(crossed: ZoneBytes, journal: Journal) -> None:
+    """Log what crossed to other zones."""
+    most = crossed.list_all()[:LINES_TOLD]
+    if most:
+        journal.emit(ZONE_BYTES, most=most)
--- a/tests/test_admission_levels.py
+++ b/tests/test_admission_levels.py
@@ -2,9 +2,10 @@
 
 import random
 
-from primroseglade.sidecar.admission import Admission, Load, STEP_SECONDS
+from primroseglade.sidecar.admission import Admission, Load
 from primroseglade.sidecar.model import Tenant, Usage
 from primroseglade.sidecar.quota import Quotas
+from primroseglade.sidecar.ticker import STEP_SECONDS
 
 URGENT, USUAL, LEAST = 10, 11, 12
 # Steps of the plant below that a load lags behind what was admitted: heartbeats are
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -1,19 +1,10 @@
 """What nodes tell each other of themselves, and hand on."""
 
-import asyncio
-import contextlib
-import random
-
 from primroseglade.sidecar.frames import Frame, State, States
 from primroseglade.sidecar.model import NodeEntry, NodeState, Usage
 from primroseglade.sidecar.own_calls import OwnCalls
 from primroseglade.sidecar.quota import Quotas
-from primroseglade.sidecar.telling import (
-    DIRECT_NODES,
-    Relay,
-    RELAY_SECONDS,
-    Teller,
-)
+from primroseglade.sidecar.telling import DIRECT_NODES, Relay, Teller
 
 ZONES = ("a", "b", "c", "d")
 
@@ -57,7 +48,6 @@
         NodeState,
         Quotas(first_start=True),
         OwnCalls(),
-        random.Random(1),
     )
     return teller, server
 
@@ -65,7 +55,7 @@
 def test_a_small_fleet_is_told_directly():
     """Every other node gets it, and nobody hands it on."""
     teller, server = build_teller(DIRECT_NODES)
-    teller._tell()
+    teller.tell(0.0)
     assert len(server.sent) == DIRECT_NODES
     assert not any(frame.relay for _, frame in server.sent)
 
@@ -76,21 +66,20 @@
     message wakes a node. So one node of each zone, the own too, hands it on.
     """
     teller, server = build_teller(88)
-    teller._tell()
+    teller.tell(0.0)
     assert [name for name, _ in server.sent] == ["a-00", "b-01", "c-02", "d-03"]
     assert all(frame.relay for _, frame in server.sent)
 
 
-async def test_the_one_that_hands_on_tells_its_neighbours_of_itself():
+def test_the_one_that_hands_on_tells_its_neighbours_of_itself():
     """It tells one node in each other zone, and its neighbours with what it heard."""
     teller, server = build_teller(88, name="a-00")
     teller.hand_on("b-05", NodeState(occupied=2.0))
-    teller._tell()
+    teller.tell(0.0)
     relayed = [name for name, frame in server.sent if isinstance(frame, State)]
     assert relayed == ["b-01", "c-02", "d-03"]
     server.sent.clear()
-    with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(teller.run_relay(), 1.5 * RELAY_SECONDS)
+    teller.hand_on_waiting(0.25)
     assert {name[0] for name, _ in server.sent} == {"a"}
     assert len(server.sent) == 21
     told = server.sent[0][1]
