End calls in time under a steady load; ask clocks less often on a call's way

Cause: found while counting functions of a call: each call set the timer of all deadlines anew, since its own deadline lay a moment behind the one that the timer was for; under a steady load the timer never rang.

Change: only an earlier deadline sets the timer.

The new test fails without it.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -235,7 +235,7 @@
         """
         self._check_instance(call)
         deadline = time.monotonic() + remaining
-        _check_time(deadline)
+        _check_time(remaining)
         turn = await self.queue.acquire(call.target_ms / 1000, remaining, call.nested)
         started = time.monotonic()
         whole = False
@@ -287,8 +287,9 @@
             self._note_outcome(failed=True)
             raise not_run(Reason.CONNECTION_LOST, error.detail) from error
         try:
-            _check_time(deadline)
-            request = self._dialect.finish_request(call, deadline - time.monotonic())
+            remaining = deadline - time.monotonic()
+            _check_time(remaining)
+            request = self._dialect.finish_request(call, remaining)
             answer = await connection.exchange(
                 request, accept, call.head.startswith(b"HEAD ")
             )
@@ -323,7 +324,7 @@
         self._failing += FAILURE_SMOOTHING * (float(failed) - self._failing)
 
 
-def _check_time(deadline: float) -> None:
+def _check_time(remaining: float) -> None:
     """Refuse a call whose caller has left: what it would get done is of no use."""
-    if time.monotonic() > deadline - LEAST_SECONDS:
+    if remaining < LEAST_SECONDS:
         raise not_run(Reason.DEADLINE_EXCEEDED, "its time passed on the way")
--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -101,7 +101,7 @@
         """Return the calls at work and waiting since the last time, on average."""
         now = time.monotonic()
         self._end_silent_turns(now)
-        self._note_change()
+        self._note_change(now)
         span = now - self._started
         average = self._area / span if span > 0 else float(self.occupied)
         self._area = 0.0
@@ -119,13 +119,13 @@
         Raises:
             Refusal: ``not run``: no room in time.
         """
-        self._note_change()
+        now = time.monotonic()
+        self._note_change(now)
         if self._running < self._limit and not self._live:
-            return self._start_turn()
+            return self._start_turn(now)
         most = NESTED_WAITING_A_SLOT if nested else WAITING_A_SLOT
         if self._live >= self._limit * most:
             raise not_run(Reason.OVERLOADED, f"{self._live} calls wait already")
-        now = time.monotonic()
         late_at = now + TARGET_WEIGHT * max(0.0, target)
         ahead = self._count_ahead(late_at)
         wait = (ahead + 1) * self._service_seconds / self._limit
@@ -162,7 +162,7 @@
                 A backend server that is slower than its callers' timeouts ends none,
                 and would look as fast as it was before.
         """
-        self._note_change()
+        self._note_change(time.monotonic())
         del self._turns[number]
         self._measure(seconds, whole)
         if number in self._silent:
@@ -182,9 +182,9 @@
         self._turn_seconds += weight * (held - self._turn_seconds)
         self._measured = True
 
-    def _start_turn(self) -> int:
+    def _start_turn(self, now: float) -> int:
         number = next(self._numbers)
-        self._turns[number] = time.monotonic()
+        self._turns[number] = now
         self._running += 1
         return number
 
@@ -221,15 +221,15 @@
             if turn.done():
                 continue
             self._live -= 1
-            left = latest - time.monotonic()
+            now = time.monotonic()
+            left = latest - now
             if left < self._service_seconds / 2:
                 error = not_run(Reason.OVERLOADED, "its time passed in the queue")
                 turn.set_exception(error)
                 continue
-            turn.set_result(self._start_turn())
+            turn.set_result(self._start_turn(now))
 
-    def _note_change(self) -> None:
-        now = time.monotonic()
+    def _note_change(self, now: float) -> None:
         if not self._measured_at:
             self._started = self._measured_at = now
         self._area += self.occupied * (now - self._measured_at)
--- a/primroseglade/sidecar/deadlines.py
+++ b/primroseglade/sidecar/deadlines.py
@@ -42,12 +42,12 @@
 
     def start(self, at: float) -> Deadline:
         """Have the running task cancelled at a time on the loop's clock."""
-        task = asyncio.current_task()
+        task = asyncio.current_task(self._loop)
         assert task is not None
         deadline = Deadline(at, task)
         self._open.add(deadline)
-        if at < self._wakes_at:
-            self._wake_at(at)
+        if at + SWEEP_SECONDS < self._wakes_at:
+            self._wake_at(at + SWEEP_SECONDS)
         return deadline
 
     def end(self, deadline: Deadline) -> None:
@@ -59,11 +59,11 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def _wake_at(self, at: float) -> None:
+    def _wake_at(self, moment: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._wakes_at = at + SWEEP_SECONDS
-        wait = max(0.0, self._wakes_at - time.monotonic())
+        self._wakes_at = moment
+        wait = max(0.0, moment - time.monotonic())
         self._timer = self._loop.call_later(wait, self._sweep)
 
     def _sweep(self) -> None:
@@ -76,4 +76,4 @@
         self._wakes_at = math.inf
         self._timer = None
         if self._open:
-            self._wake_at(min(d.at for d in self._open))
+            self._wake_at(min(d.at for d in self._open) + SWEEP_SECONDS)
--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -214,14 +214,15 @@
     ) -> Candidate | None:
         """Return where to send the call next; a nested one waits for a place."""
         pause = NESTED_PAUSE_SECONDS
-        waited_until = time.monotonic() + NESTED_PATIENCE_SECONDS
+        left = NESTED_PATIENCE_SECONDS
         while True:
             candidate = self._choose(call, attempts.tried)
             if candidate is not None or not call.nested or attempts.tried:
                 return candidate
-            if time.monotonic() > waited_until:
+            if left <= 0:
                 return None
             await asyncio.sleep(pause)
+            left -= pause
             pause *= 2
 
     async def _attempt(
@@ -291,7 +292,8 @@
         )
 
     async def _send(self, call: OutgoingCall, candidate: Candidate) -> Outcome:
-        remaining = call.deadline - time.monotonic()
+        now = time.monotonic()
+        remaining = call.deadline - now
         if remaining <= 0:
             raise not_run(Reason.DEADLINE_EXCEEDED, "no time is left to send it")
         peer = None
@@ -308,7 +310,7 @@
             call.request_id,
             # Whole milliseconds, which take three bytes and not nine.
             int(remaining * 1000),
-            int((call.target - time.monotonic()) * 1000),
+            int((call.target - now) * 1000),
             call.route.idempotent,
             call.nested,
             call.head,
--- a/primroseglade/sidecar/entry.py
+++ b/primroseglade/sidecar/entry.py
@@ -183,22 +183,23 @@
         seconds = min(seconds, route.timeout)
         deadline = request.arrived + seconds
         self._check_stop(request.arrived, deadline)
-        remaining = deadline - time.monotonic()
+        now = time.monotonic()
+        remaining = deadline - now
         if remaining < LEAST_REMAINING_SECONDS:
             raise not_run(Reason.OVERLOADED, "no time is left")
         service = self._policies.routes.choose_service(route)
         if tenant is not None:
             # First of all: what is over its rate is no demand for admission to weigh.
             # A workspace at seven times its rate closed services to all others.
-            self._check_rate(tenant, remaining)
+            self._check_rate(tenant, remaining, now)
         if nested:
-            self._own_calls.note_call(route.name, time.monotonic())
+            self._own_calls.note_call(route.name, now)
         else:
-            self._admit(route, service, rank_request(route, tenant), remaining)
-            self._budget.note_first(service, time.monotonic())
+            self._admit(route, service, rank_request(route, tenant), remaining, now)
+            self._budget.note_first(service, now)
         if tenant is not None:
             # Last of all: what is refused above costs no token.
-            self._quotas.spend(tenant, time.monotonic())
+            self._quotas.spend(tenant, now)
         head = self._dialect.render_request(
             request, self._service, tenant.name if tenant is not None else ""
         )
@@ -283,8 +284,7 @@
             detail = f"the configuration may be out of date by {age:.1f} s"
             raise not_run(Reason.CONFIGURATION_STALE, detail, 0.5)
 
-    def _check_rate(self, tenant: Tenant, remaining: float) -> None:
-        now = time.monotonic()
+    def _check_rate(self, tenant: Tenant, remaining: float, now: float) -> None:
         settled = now - self._policies.in_force_since > SETTLED_SECONDS
         within = self._quotas.check(tenant, len(self._fleet), now, settled)
         if not within or self._rng.random() > self._quotas.weigh(tenant, now):
@@ -292,9 +292,11 @@
             retry = spread_retry(remaining, self._rng)
             raise not_run(Reason.RATE_EXCEEDED, detail, retry)
 
-    def _admit(self, route: Route, service: str, rank: int, remaining: float) -> None:
+    def _admit(
+        self, route: Route, service: str, rank: int, remaining: float, now: float
+    ) -> None:
         visits = self._graph.get_visits(route.name, service)
-        self._admission.note_demand(visits, rank, time.monotonic())
+        self._admission.note_demand(visits, rank, now)
         if not self._admission.admits(visits, rank):
             retry = spread_retry(remaining, self._rng)
             detail = "a service that it leads to is overloaded"
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -1,7 +1,6 @@
 """All nodes as this one knows them, and who serves what."""
 
 import random
-import time
 from collections.abc import Collection, Iterator
 
 from ..observe.events import Journal, PEER_FORGOTTEN, PEER_LEARNT
@@ -177,14 +176,13 @@
             below: What the calls below it cost, by zone.
         """
         places = self._places.get(service, NOWHERE)
-        now = time.monotonic()
-        near = self._sample(places.near, NEAR_SAMPLE, tried, below, now)
+        near = self._sample(places.near, NEAR_SAMPLE, tried, below)
         if own is not None and own.name not in tried:
             near.append(own)
         least_far = min(below.values(), default=0.0)
         chosen = choose(
             near,
-            lambda: self._sample(places.far, FAR_SAMPLE, tried, below, now),
+            lambda: self._sample(places.far, FAR_SAMPLE, tried, below),
             other_zone_ms,
             least_far,
             failure_ms,
@@ -207,7 +205,6 @@
         most: int,
         tried: Collection[str],
         below: Costs,
-        now: float,
     ) -> list[Candidate]:
         """Return some nodes that may be asked, others with each call."""
         found: list[Candidate] = []
@@ -215,7 +212,7 @@
             start = int(self._rng.random() * len(peers))
             peers = peers[start:] + peers[:start]
         for peer in peers:
-            if not peer.usable or peer.entry.name in tried or peer.is_suspect(now):
+            if not peer.usable or peer.entry.name in tried or peer.suspect:
                 continue
             found.append(self._describe(peer, below))
             if len(found) == most:
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -122,15 +122,15 @@
         """Whether calls wait for its answer."""
         return bool(self._pending)
 
-    def is_suspect(self, now: float) -> bool:
+    @property
+    def suspect(self) -> bool:
         """Whether it was asked for a sign of life and nothing is heard."""
         if not self._ping_id or not self._pending:
             return False
         stream = self._stream
-        if stream is None:
+        if stream is None or stream.heard_at >= self._ping_sent_at:
             return False
-        unheard = stream.heard_at < self._ping_sent_at
-        return unheard and now - self._ping_sent_at > SUSPECT_SECONDS
+        return time.monotonic() - self._ping_sent_at > SUSPECT_SECONDS
 
     async def run(self) -> None:
         """Keep a stream to the node, until it is unreachable for long."""
--- a/primroseglade/sidecar/server_connection.py
+++ b/primroseglade/sidecar/server_connection.py
@@ -290,7 +290,8 @@
         if not pipeline.size and self._too_large:
             self._finish()
             return
-        self._start()
+        if pipeline.started < pipeline.size:
+            self._start()
         if self._paused and pipeline.size < READ_AHEAD and self._transport is not None:
             self._paused = False
             self._transport.resume_reading()
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -87,3 +87,19 @@
     async with asyncio.timeout(0.5):
         assert await wait(deadlines, 0.05, 5.0) == "time is up"
     assert wakes == 1
+
+
+async def test_calls_that_come_without_end_do_not_put_off_an_earlier_deadline(
+    deadlines: Deadlines,
+):
+    """A call hung for as long as others came: each of them, with a deadline a moment
+    later, set the one timer anew.
+    """
+    hung = asyncio.create_task(wait(deadlines, 0.2, 5.0))
+    others = []
+    for _ in range(40):
+        others.append(asyncio.create_task(wait(deadlines, 0.2, 0.0)))
+        await asyncio.sleep(0.01)
+    assert hung.done()
+    assert hung.result() == "time is up"
+    await asyncio.gather(*others)
