Give a crashed backend server no calls until it reports again

Log from 24 s on: 500 a second, half of them look-ups for which 'N calls wait already', and a fifth 'connection refused'. One of three timetable servers had crashed; its node told it as usable all the while. Admission reckoned with 2,500 calls a second that two servers could not serve, at five calls a slot.

Change: a refused connection says that nobody listens. The node tells the others at once that there is no backend server, until the next status report. Without the change the new test ends by its time-out.

--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -164,6 +164,12 @@
 BACKEND_WITHDRAWN = _define(
     323, "warning", "backend server withdrawn", "A recall or an edit took its trust."
 )
+BACKEND_GONE = _define(
+    325,
+    "warning",
+    "backend server gone",
+    "Nobody listens at its address; it gets no calls until it reports again.",
+)
 BACKEND_SILENT = _define(
     324,
     "warning",
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 from ..observe.events import (
     BACKEND_ANNOUNCED,
     BACKEND_DRAINING,
+    BACKEND_GONE,
     BACKEND_REPORT_REFUSED,
     Journal,
 )
@@ -86,6 +88,7 @@
         dialect: How to speak to it.
         own_calls: Counts its runs.
         journal: Where changes are told.
+        tell_state: Tells the other nodes at once what changed here.
     """
 
     def __init__(
@@ -95,18 +98,21 @@
         dialect: BackendDialect,
         own_calls: OwnCalls,
         journal: Journal,
+        tell_state: Callable[[], None],
     ):
         self._service = service
         self._address = address
         self._dialect = dialect
         self._own_calls = own_calls
         self._journal = journal
+        self._tell_state = tell_state
         self._report: StatusReport | None = None
         self._left: dict[str, int] = {}
         # Start of the newest lifetime that left here. Peers tell of backend servers
         # that left elsewhere too, which say nothing of the one here.
         self._newest_left = 0
         self._leaving = True
+        self._gone = False
         self._stopping = False
         self._cold_until = 0.0
         self._failing = 0.0
@@ -121,7 +127,7 @@
     @property
     def instance(self) -> str:
         """Id of the backend server that takes calls now; empty if there is none."""
-        if self._report is None or self._leaving or self._stopping:
+        if self._report is None or self._leaving or self._gone or self._stopping:
             return ""
         return self._report.instance
 
@@ -206,9 +212,10 @@
         elif report.state is BackendState.DRAINING:
             self.leave(report.instance, report.born)
         else:
-            if self._leaving:
+            if self._leaving or self._gone:
                 self._journal.emit(BACKEND_ANNOUNCED, backend=report.instance)
             self._leaving = False
+            self._gone = False
         return True
 
     def leave(self, instance: str, born: int) -> None:
@@ -265,6 +272,21 @@
         self._cold_until = time.monotonic() + report.cold_remaining
         self.queue.resize(report.slots)
 
+    def _note_gone(self) -> None:
+        """Take no calls for a backend server that has crashed.
+
+        It says nothing when it does. While others took it for usable, a part of all
+        calls failed here first, and admission let in what its slots would have served.
+        A report proves that it lives; one that was under way is refuted by the next
+        call.
+        """
+        if self._gone:
+            return
+        self._gone = True
+        self._pool.close_idle()
+        self._journal.emit(BACKEND_GONE, backend=self._report and self._report.instance)
+        self._tell_state()
+
     def _check_instance(self, call: Call) -> None:
         if not self.instance:
             raise not_run(Reason.DRAINING, "the backend server takes no calls")
@@ -285,6 +307,8 @@
             connection = await self._pool.acquire(once=not call.idempotent)
         except ExchangeError as error:
             self._note_outcome(failed=True)
+            if error.refused:
+                self._note_gone()
             raise not_run(Reason.CONNECTION_LOST, error.detail) from error
         try:
             remaining = deadline - time.monotonic()
--- a/primroseglade/sidecar/http_client.py
+++ b/primroseglade/sidecar/http_client.py
@@ -36,12 +36,14 @@
     Args:
         detail: What happened.
         sent: Whether the request may have reached the other end.
+        refused: Whether nobody listens at the address.
     """
 
-    def __init__(self, detail: str, sent: bool):
+    def __init__(self, detail: str, sent: bool, refused: bool = False):
         super().__init__(detail)
         self.detail = detail
         self.sent = sent
+        self.refused = refused
 
 
 class Answer:
@@ -310,6 +312,7 @@
                     ClientConnection, self._host, self._port
                 )
         except (TimeoutError, OSError) as error:
-            text = str(error) or "timed out"
-            raise ExchangeError(f"no connection: {text}", sent=False) from error
+            detail = f"no connection: {str(error) or 'timed out'}"
+            refused = isinstance(error, ConnectionRefusedError)
+            raise ExchangeError(detail, sent=False, refused=refused) from error
         return connection
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -107,7 +107,12 @@
         self.policies = PolicyKeeper(store, settings.revoke, journal, self._tell_all)
         self.own_calls = OwnCalls()
         self.backend = Backend(
-            settings.service, settings.backend, dialect, self.own_calls, journal
+            settings.service,
+            settings.backend,
+            dialect,
+            self.own_calls,
+            journal,
+            self._tell_all,
         )
         self.fleet = Fleet(self, self._supervisor, journal, self._rng)
         self.leaves = Leaves(
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -311,6 +311,30 @@
     assert max(took.values()) < 1.9
 
 
+async def test_a_crashed_backend_server_gets_no_calls_until_it_reports_again(
+    mesh: Mesh,
+):
+    """A backend server crashed, and the node beside it went on telling the others that
+    it takes calls. A third of all look-ups went there first, and admission reckoned
+    with its slots: callers were let in whom the two others could not serve.
+    """
+    crashed = mesh.places[1]
+    assert crashed.backend_task is not None
+    crashed.backend_task.cancel()
+    await asyncio.wait({crashed.backend_task})
+    seen = mesh.places[0].node.fleet.get(crashed.settings.name)
+    assert seen is not None
+    async with asyncio.timeout(5.0):
+        number = 0
+        while seen.state.instance:
+            assert (await ask(mesh.places[0], "/deep/a", f"r{number}")).status == 200
+            number += 1
+    crashed.backend_task = asyncio.create_task(crashed.backend.run())
+    async with asyncio.timeout(5.0):
+        while not seen.state.instance:
+            await asyncio.sleep(0.02)
+
+
 async def test_a_call_that_was_held_up_past_its_time_does_not_run(
     mesh: Mesh, monkeypatch: pytest.MonkeyPatch
 ):
