--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -63,8 +63,8 @@
 
 
 def test_bookings_that_have_time_stay_near_though_others_are_faster():
-    """One zone's only backend server of bookings was slower than the others. Bookings of
-    nine kilobytes both ways crossed for a tenth of a second, of which callers with a
+    """One zone's only backend server of bookings was slower than the others. Bookings
+    of nine kilobytes both ways crossed for a tenth of a second, of which callers with a
     target of over a second saw nothing; a quarter of the bytes between zones were
     theirs. Where they would be late at home, they still go elsewhere.
     """
