Nested calls wait for a backend server until they would be late, not until their end

Twenty calls waited for each slot of the timetable, with 0.7 s each; a page looks four times into it and has two seconds. Levels were right (0.2 to 0.4) but the queue held what was doomed.

Change: nested calls wait until their target or twice the usual work, and are refused as not run when they come if that is not enough.

Without the change the new test fails.

--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -27,9 +27,14 @@
 # Calls of callers that wait for one that is at work, at the most. They are refused
 # early, while they may still be served elsewhere or come back in time.
 WAITING_A_SLOT = 3.0
-# Calls of other backend servers, likewise: refused, they waste the work above them,
-# so that they wait for as long as their time allows; this bounds memory.
+# Calls of other backend servers, likewise: refused, they waste the work above them, so
+# that more of them wait; this bounds memory.
 NESTED_WAITING_A_SLOT = 30.0
+# They wait until their answer would be late, or for so many times the usual work. A
+# request makes several calls one after the other: where each waits for all of its own
+# time, their sum is more than the request has, and a backend server with a long queue
+# works for requests that all fail.
+NESTED_WORK_FACTOR = 2.0
 
 
 class BackendQueue:
@@ -129,7 +134,11 @@
         late_at = now + TARGET_WEIGHT * max(0.0, target)
         ahead = self._count_ahead(late_at)
         wait = (ahead + 1) * self._service_seconds / self._limit
-        if wait + self._service_seconds > remaining:
+        longest = remaining
+        if nested:
+            worth_waiting = max(target, NESTED_WORK_FACTOR * self._service_seconds)
+            longest = min(remaining, worth_waiting)
+        if wait + self._service_seconds > longest:
             raise not_run(Reason.OVERLOADED, f"{ahead} calls go before it")
         loop = asyncio.get_running_loop()
         turn: asyncio.Future[int] = loop.create_future()
--- a/tests/test_backend_queue.py
+++ b/tests/test_backend_queue.py
@@ -120,3 +120,31 @@
             queue.release(turn, 0.01)
     assert queue.turn_seconds < 0.03
     assert queue.service_seconds > 0.1
+
+
+async def test_look_ups_of_one_page_do_not_wait_for_all_of_their_time():
+    """After a restart of everything a timetable had twenty calls waiting for each slot,
+    and for six seconds hardly a page was served. Each page looks four times into it,
+    one after the other; each look-up waited for nearly all of its 0.7 s, and pages with
+    two seconds ended at the fourth. Whoever comes when the wait is too long for its
+    target hears so at once.
+    """
+    queue = BackendQueue(16)
+    turn = await queue.acquire(0.3, 0.7, nested=True)
+    queue.release(turn, 0.1)
+    for _ in range(queue.limit):
+        await queue.acquire(0.3, 0.7, nested=True)
+    calls = [
+        asyncio.create_task(queue.acquire(0.3, 0.7, nested=True)) for _ in range(100)
+    ]
+    await asyncio.sleep(0)
+    refused = [call for call in calls if call.done()]
+    # A third of a second of work for all slots, with the call's own.
+    assert 65 <= len(refused) <= 75
+    for call in refused:
+        error = call.exception()
+        assert isinstance(error, Refusal)
+        assert error.verdict is Verdict.NOT_RUN
+    for call in calls:
+        call.cancel()
+    await asyncio.gather(*calls, return_exceptions=True)
