--- a/primroseglade/sidecar/meter.py
+++ b/primroseglade/sidecar/meter.py
@@ -20,6 +20,9 @@
 # configuration of thousands of routes does not fill the memory.
 ROUTES_NAMED = 200
 OTHER_ROUTES = "other"
+# An age that is not known is told as this one, some days: neither a metric nor a
+# message holds an infinity.
+LONGEST_AGE_SECONDS = 1e6
 PREFIX = "primroseglade_"
 
 
@@ -106,7 +109,7 @@
         for frame, route, size in node.crossed.list_all():
             crossed.add_metric([frame, route], size)
         yield crossed
-        for name, text, value in node.list_gauges():
+        for name, text, value in _list_gauges(node):
             yield core.GaugeMetricFamily(PREFIX + name, text, value=value)
 
 
@@ -122,6 +125,24 @@
         return self._meter.collect(self._node)
 
 
+def _list_gauges(node: "SidecarNode") -> list[tuple[str, str, float]]:
+    """Return name, meaning and value of what is measured now."""
+    backend = node.backend
+    queue = backend.queue
+    age = min(node.policies.age, LONGEST_AGE_SECONDS)
+    streams = len(node.fleet.list_connected())
+    return [
+        ("occupied", "Calls at work and waiting there.", node.occupied),
+        ("slots", "Calls that it is given at once.", queue.limit),
+        ("service_seconds", "Usual time of work there.", queue.service_seconds),
+        ("failing_ratio", "Share of calls that failed there.", backend.failing),
+        ("peers", "Nodes to which a stream is open.", streams),
+        ("policy_version", "Configuration in force.", node.policies.version),
+        ("policy_age_seconds", "For which a newer one may exist unseen.", age),
+        ("in_flight", "Requests under way at this node.", node.count_busy()),
+    ]
+
+
 def _cumulate(latencies: Latencies) -> list[tuple[str, float]]:
     count = 0
     buckets = []
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -14,6 +14,7 @@
     STORE_WRITE_FAILED,
 )
 from ..supervisor import Supervisor
+from .account import Allowance
 from .admission import Admission
 from .answer_sizes import AnswerSizes
 from .backend import Backend, BackendDialect
@@ -27,7 +28,7 @@
 from .http_server import build_local_server, HttpServer
 from .leaves import Leaves
 from .load_watch import LoadWatch
-from .meter import build_metrics, Meter
+from .meter import build_metrics, LONGEST_AGE_SECONDS, Meter
 from .model import (
     NodeEntry,
     NodeState,
@@ -39,7 +40,7 @@
 from .peer_server import PeerServer
 from .peer_watch import ASK_SECONDS, PeerWatch
 from .policy_keeper import PolicyKeeper, StoreError
-from .quota import Allowance, Quotas
+from .quota import Quotas
 from .retry_budget import RetryBudget
 from .server_connection import Handler
 from .telling import TELL_SECONDS, Teller
@@ -59,8 +60,6 @@
 # Kept of the time that the platform gives, for the end of the process itself on a
 # starved machine; more would cut calls that are about to be answered.
 STOP_MARGIN_SECONDS = 0.85
-# An age that is not known is told as this one, some days: a message holds no infinity.
-LONGEST_AGE_SECONDS = 1e6
 
 
 class NodeDialect(CallerDialect, BackendDialect, Protocol):
@@ -287,22 +286,9 @@
         """Remember that a backend server beside another node leaves."""
         self.leaves.remember(instance, born)
 
-    def list_gauges(self) -> list[tuple[str, str, float]]:
-        """Return name, meaning and value of what is measured now."""
-        backend = self.backend
-        queue = backend.queue
-        age = min(self.policies.age, LONGEST_AGE_SECONDS)
-        streams = len(self.fleet.list_connected())
-        return [
-            ("occupied", "Calls at work and waiting there.", self.occupied),
-            ("slots", "Calls that it is given at once.", queue.limit),
-            ("service_seconds", "Usual time of work there.", queue.service_seconds),
-            ("failing_ratio", "Share of calls that failed there.", backend.failing),
-            ("peers", "Nodes to which a stream is open.", streams),
-            ("policy_version", "Configuration in force.", self.policies.version),
-            ("policy_age_seconds", "For which a newer one may exist unseen.", age),
-            ("in_flight", "Requests under way at this node.", self._count_busy()),
-        ]
+    def count_busy(self) -> int:
+        """Return the requests under way here, of callers and of other nodes."""
+        return self._outbound.busy + self._peer_server.busy
 
     def learn_drains(self, drains: dict[str, int]) -> None:
         """Take in which backend servers leave, as a peer remembers."""
@@ -351,7 +337,7 @@
         """
         started = time.monotonic()
         self._stopping = True
-        self._journal.emit(NODE_STOPPING, in_flight=self._count_busy())
+        self._journal.emit(NODE_STOPPING, in_flight=self.count_busy())
         self.backend.stop()
         self._tell_all()
         self._outbound.ask_to_close()
@@ -360,7 +346,7 @@
         choosy_after = started + CHOOSY_PART * self._settings.grace
         self.entry_point.stop(choosy_after, latest)
         while time.monotonic() < latest:
-            if time.monotonic() >= earliest and not self._count_busy():
+            if time.monotonic() >= earliest and not self.count_busy():
                 break
             await asyncio.sleep(IDLE_POLL_SECONDS)
         self._outbound.close_idle()
@@ -368,16 +354,13 @@
         self._peer_server.finish()
         self._journal.emit(
             NODE_STOPPED,
-            cut=self._count_busy(),
+            cut=self.count_busy(),
             seconds=round(time.monotonic() - started, 2),
         )
         await self._supervisor.close()
         self._deadlines.close()
         await self._store.close()
 
-    def _count_busy(self) -> int:
-        return self._outbound.busy + self._peer_server.busy
-
     async def _introduce(self) -> None:
         """Make this node known in the store, then find the others there.
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -6,8 +6,9 @@
 
 import pytest
 
+from primroseglade.sidecar.account import Allowance
 from primroseglade.sidecar.model import Tenant, Usage
-from primroseglade.sidecar.quota import Allowance, Quotas
+from primroseglade.sidecar.quota import Quotas
 
 STATE_SECONDS = 0.5
 # What users allow in any window of five seconds, beyond rate and burst.
