Look for silent streams on a machine with too little processor, too

A look for silence that comes a tenth of a second late was not taken, as what others sent might still be unread; there each look was late, and none was taken.

Ruled out: the longer pause between looks while nothing waits (the first call ends it within 0.25 s).

Change: a look is as of the moment for which it was planned, however late it comes. The time in which this process stood still counts against nobody, as before.

--- a/primroseglade/sidecar/peer_watch.py
+++ b/primroseglade/sidecar/peer_watch.py
@@ -17,8 +17,7 @@
 # and while none do, to see whether this process stood still.
 SILENCE_SECONDS = 0.1
 IDLE_SILENCE_SECONDS = 0.25
-# A look that comes so late says that this process stood still, not that others are
-# silent: what they sent is still to be read.
+# A look that comes so late says that this process stood still.
 LATE_SECONDS = 0.1
 # For so long after that, what is read may be old.
 CATCH_UP_SECONDS = 0.5
@@ -71,8 +70,11 @@
             due = time.monotonic() + pause
             await asyncio.sleep(pause)
             now = time.monotonic()
-            if now - due < LATE_SECONDS:
-                self._fleet.check_silence(now)
-            else:
+            # As of the moment for which this look was planned: where it comes late,
+            # this process stood still and not the others, and what they sent since is
+            # still to be read. A process that is always a little late looks all the
+            # same, or calls to a zone that is cut off would wait out their time.
+            self._fleet.check_silence(due)
+            if now - due >= LATE_SECONDS:
                 self._late_until = now + CATCH_UP_SECONDS
             self._note_late(now < self._late_until)
