--- a/primroseglade/sidecar/account.py
+++ b/primroseglade/sidecar/account.py
@@ -39,8 +39,7 @@
 # else many nodes spend each token of the fleet's bucket several times over.
 LAG_SECONDS = 0.3
 # While a workspace is calm, the others hear of its use this often: they reckon with
-# what they were told, and hundreds of workspaces at each of many nodes would take most
-# of what nodes do for each other.
+# what they were told, and many workspaces at many nodes are costly to tell of.
 CALM_TELL_SECONDS = 2.0
 # Calm is a workspace with this part of its burst left, the demand of which is what was
 # told, give or take a part, or some calls a second where there are few.
--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -22,11 +22,11 @@
 # with; below the second, less.
 TOO_BUSY = 1.5
 ROOM = 0.95
-# What waits is worked off within so many seconds. It is seen after half a second, and
-# what is done about it shows after another: in less time the level would swing.
+# What waits is worked off within so many seconds. It is seen late, and what is done
+# about it shows later: in less time the level would swing.
 DRAIN_SECONDS = 1.5
-# The reckoning is corrected by these parts a step: slowly against the second after
-# which a correction shows.
+# The reckoning is corrected by these parts a step: slowly against the time after which
+# a correction shows.
 TRIM_DOWN = 0.01
 TRIM_UP = 0.01
 # And by this where slots stand empty: after an overload that was worse than reckoned.
@@ -38,8 +38,8 @@
 SURE = 0.85
 # Some always pass, or nothing would show that there is room.
 LEAST_LEVEL = 0.05
-# Demand is counted over this span, in seconds: a node sees some ten requests a second,
-# and a burst has to be seen before queues are full.
+# Demand is counted over this span, in seconds: long enough for some requests at each
+# node, and a burst has to be seen before queues are full.
 DEMAND_SECONDS = 1.0
 # A service that one request in so many reaches is no reason to refuse it.
 LEAST_VISITS = 0.05
--- a/primroseglade/sidecar/choice.py
+++ b/primroseglade/sidecar/choice.py
@@ -5,13 +5,13 @@
 
 # What a call to another availability zone has to be better by: the way there and back,
 # and a part of the time in which its answer has its full use. Bytes between zones are
-# what users pay most for after the machines; a caller does not see a tenth of its
-# target, not even for several calls one after the other.
+# dear, and a caller does not see a small part of its target, not even for several
+# calls one after the other.
 OTHER_ZONE_MS = 2.0
 OTHER_ZONE_PART = 0.1
 # And for each kilobyte, of the call and of its answer: where a zone is short of backend
 # servers, its small calls go elsewhere and make room for the large ones. A part of the
-# target, too: a caller that has a second loses nothing by a quarter of it.
+# target, too: a caller with much time loses nothing by waiting for a part of it.
 OTHER_ZONE_PART_A_KILOBYTE = 0.05
 # A failed call costs as much as an answer that is late by so many targets: its caller
 # gets nothing, or begins anew.
--- a/primroseglade/sidecar/load_watch.py
+++ b/primroseglade/sidecar/load_watch.py
@@ -10,7 +10,7 @@
 from .policy_keeper import PolicyKeeper
 from .zone_costs import ZoneCosts
 
-# Nodes tell the calls of their backend servers every two seconds.
+# How often the graph is built anew; what backend servers call is told less often.
 GRAPH_SECONDS = 1.0
 # Levels change in steps; the log has them once a second while any is below its top.
 LEVELS_TOLD_SECONDS = 1.0
--- a/primroseglade/sidecar/loop.py
+++ b/primroseglade/sidecar/loop.py
@@ -10,7 +10,7 @@
 
 
 def build_loop() -> asyncio.AbstractEventLoop:
-    """Return a loop on uvloop: a relayed call costs half of what it does on others."""
+    """Return a loop on uvloop: calls cost less than on the interpreter's own."""
     # Read once, when the library makes its first loop.
     os.environ[IO_URING_VARIABLE] = "0"
     import uvloop
--- a/primroseglade/sidecar/packing.py
+++ b/primroseglade/sidecar/packing.py
@@ -10,8 +10,8 @@
 import zlib
 
 LENGTH = struct.Struct(">I")
-# What went before is remembered for two kilobytes, some six heads, as raw deflate; each
-# end of a stream keeps some kilobytes for it.
+# What went before is remembered for some heads, as raw deflate; each end of a stream
+# keeps memory for it.
 WINDOW_BITS = -11
 MEMORY_LEVEL = 4
 LEVEL = 3
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -32,11 +32,11 @@
 from .zone_bytes import ZoneBytes
 
 # A stream on which a call waits and nothing came for so long is asked for a sign of
-# life. Other nodes tell their states twice a second, and answers come in between.
+# life: where calls are answered, answers come in between.
 ASK_SECONDS = 0.25
 # A question is answered in milliseconds, whatever the backend server does. A node that
-# has not answered for so long gets no calls that others can take: a zone that is cut
-# off costs its callers half a second, not the time-out of each call.
+# has not answered for so long gets no calls that others can take: calls to a zone that
+# is cut off do not wait out their timeouts.
 SUSPECT_SECONDS = 0.25
 # A question that is unanswered for so long, with nothing else heard, ends the stream,
 # and calls that may be repeated go elsewhere. A packet lost twice still arrives.
--- a/primroseglade/sidecar/telling.py
+++ b/primroseglade/sidecar/telling.py
@@ -19,7 +19,7 @@
 # Every node tells its state this often, so that it is younger than what it decides.
 TELL_SECONDS = 0.5
 # Up to so many nodes tell each other directly: it is faster by the time of gathering,
-# and up to here costs a node less than a hundredth of its processor.
+# and costs little processor time in a fleet of this size.
 DIRECT_NODES = 24
 # What calls a route makes changes with the configuration and is told this often.
 CALLS_TOLD_SECONDS = 2.0
