Log the accounts of workspaces that are at their rates

When a workspace received more calls than its rate allows, neither logs nor metrics showed its limits, its demand, the calls admitted by each node or the tokens each node assumed to be left. Three explanations of one such case could not be told apart.

Emit event 507 once per second while any workspace has less than half of its burst left; one line lists the eight workspaces with the highest demand. Add the metrics workspace_calls and workspace_tokens.

--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -266,6 +266,14 @@
     "What this node sent to other availability zones since its start: kind of frame, "
     "route and bytes, the most first.",
 )
+WORKSPACES_AT_RATE = _define(
+    507,
+    "info",
+    "workspaces at their rates",
+    "Workspaces with less than half of their burst left: the enforced rate and burst, "
+    "calls per second at this node and at the others, tokens as this node sees them, "
+    "its share of the rate, and the calls it admitted since its start.",
+)
 LINES_DROPPED = _define(
     590,
     "warning",
--- a/primroseglade/sidecar/account.py
+++ b/primroseglade/sidecar/account.py
@@ -114,6 +114,65 @@
         return passed - expected
 
 
+class AccountSnapshot:
+    """The state of a workspace's account, for logs and metrics.
+
+    Attributes:
+        rate: Enforced calls per second, including the allowance.
+        burst: Enforced burst in calls, including the allowance.
+        demand: Calls per second received by this node.
+        others_demand: Calls per second received by the other nodes, as last reported.
+        others: Number of other nodes whose reports are counted.
+        tokens: Tokens left in the fleet's bucket, as this node sees it.
+        unseen: Tokens reserved for calls that other nodes have not reported yet.
+        share: Fraction of the rate that this node admits when the bucket is empty.
+        admitted: Calls admitted by this node since its start.
+    """
+
+    __slots__ = (
+        "admitted",
+        "burst",
+        "demand",
+        "others",
+        "others_demand",
+        "rate",
+        "share",
+        "tokens",
+        "unseen",
+    )
+
+    def __init__(
+        self,
+        rate: float,
+        burst: float,
+        demand: float,
+        others_demand: float,
+        others: int,
+        tokens: float,
+        unseen: float,
+        share: float,
+        admitted: int,
+    ):
+        self.rate = rate
+        self.burst = burst
+        self.demand = demand
+        self.others_demand = others_demand
+        self.others = others
+        self.tokens = tokens
+        self.unseen = unseen
+        self.share = share
+        self.admitted = admitted
+
+    @property
+    def low_on_tokens(self) -> bool:
+        """Whether unreserved tokens are below `CALM_TOKENS` of the burst."""
+        return self.tokens - self.unseen < CALM_TOKENS * self.burst
+
+    def to_fields(self) -> dict[str, float]:
+        """Return the attributes as log fields, rounded to two decimals."""
+        return {name: round(getattr(self, name), 2) for name in self.__slots__}
+
+
 class Account:
     """One workspace's tokens as this node sees them.
 
@@ -163,6 +222,23 @@
         span = min(DEMAND_SECONDS, max(0.25, now - self._since))
         return self._demand.total(now) / span
 
+    def build_snapshot(self, nodes: int, now: float) -> AccountSnapshot | None:
+        """Return the state, tokens as of the last call; None without a rate limit."""
+        limits = self._limits
+        if limits is None or limits.rate <= 0 or self._fleet_tokens is None:
+            return None
+        return AccountSnapshot(
+            limits.rate,
+            limits.burst,
+            self.get_demand(now),
+            self._others_demand,
+            len(self._others),
+            self._fleet_tokens,
+            self._unseen,
+            self._get_share(nodes, now),
+            self.admitted,
+        )
+
     def describe(self, now: float) -> Usage:
         """Return what to tell the others."""
         return Usage(round(self.get_demand(now), 2), self.admitted)
--- a/primroseglade/sidecar/meter.py
+++ b/primroseglade/sidecar/meter.py
@@ -6,6 +6,7 @@
 
 import bisect
 import collections
+import time
 from collections.abc import Iterator
 from typing import Any, TYPE_CHECKING
 
@@ -20,6 +21,8 @@
 # configuration of thousands of routes does not fill the memory.
 ROUTES_NAMED = 200
 OTHER_ROUTES = "other"
+# Limits the number of time series that workspaces add to the metrics.
+WORKSPACES_NAMED = 200
 # An age that is not known is told as this one, some days: neither a metric nor a
 # message holds an infinity.
 LONGEST_AGE_SECONDS = 1e6
@@ -109,6 +112,7 @@
         for frame, route, size in node.crossed.list_all():
             crossed.add_metric([frame, route], size)
         yield crossed
+        yield from _collect_workspaces(node)
         for name, text, value in _list_gauges(node):
             yield core.GaugeMetricFamily(PREFIX + name, text, value=value)
 
@@ -125,6 +129,29 @@
         return self._meter.collect(self._node)
 
 
+def _collect_workspaces(node: "SidecarNode") -> Iterator[Any]:
+    """Yield the metrics of the rate-limited workspaces with the most admitted calls."""
+    from prometheus_client import core
+
+    calls = core.CounterMetricFamily(
+        PREFIX + "workspace_calls",
+        "Calls of a workspace let through within its rate.",
+        labels=["workspace"],
+    )
+    tokens = core.GaugeMetricFamily(
+        PREFIX + "workspace_tokens",
+        "Left in a workspace's bucket for the whole fleet, as this node sees it.",
+        labels=["workspace"],
+    )
+    snapshots = node.quotas.build_snapshots(len(node.fleet), time.monotonic())
+    names = sorted(snapshots, key=lambda name: snapshots[name].admitted, reverse=True)
+    for name in names[:WORKSPACES_NAMED]:
+        calls.add_metric([name], snapshots[name].admitted)
+        tokens.add_metric([name], snapshots[name].tokens)
+    yield calls
+    yield tokens
+
+
 def _list_gauges(node: "SidecarNode") -> list[tuple[str, str, float]]:
     """Return name, meaning and value of what is measured now."""
     backend = node.backend
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -41,6 +41,7 @@
 from .peer_watch import ASK_SECONDS, PeerWatch
 from .policy_keeper import PolicyKeeper, StoreError
 from .quota import Quotas
+from .rate_watch import RATE_LOG_SECONDS, RateWatch
 from .retry_budget import RetryBudget
 from .server_connection import Handler
 from .telling import TELL_SECONDS, Teller
@@ -160,6 +161,7 @@
             self.policies,
             journal,
         )
+        self._rate_watch = RateWatch(self.quotas, lambda: len(self.fleet), journal)
         self._deadlines = Deadlines()
         self.entry_point = Entry(
             settings.service,
@@ -326,6 +328,7 @@
         ticker.add(self._teller.hand_on_waiting)
         ticker.add(self._teller.tell, TELL_SECONDS)
         ticker.add(self._peer_watch.ask, ASK_SECONDS)
+        ticker.add(self._rate_watch.log_accounts, RATE_LOG_SECONDS)
         ticker.add(lambda _: tell_crossed(self.crossed, self._journal), BYTES_SECONDS)
         return ticker
 
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -2,7 +2,7 @@
 
 import random
 
-from .account import Account, Allowance, FORGET_SECONDS
+from .account import Account, AccountSnapshot, Allowance, FORGET_SECONDS
 from .model import Tenant, Usage
 
 
@@ -108,6 +108,14 @@
         }
         return {name: usage for name, usage in changes.items() if usage is not None}
 
+    def build_snapshots(self, nodes: int, now: float) -> dict[str, AccountSnapshot]:
+        """Return snapshots of all accounts with a rate limit, by workspace."""
+        snapshots = {
+            name: account.build_snapshot(nodes, now)
+            for name, account in self._accounts.items()
+        }
+        return {name: item for name, item in snapshots.items() if item is not None}
+
     def _get(self, name: str, now: float) -> Account:
         account = self._accounts.get(name)
         if account is None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from primroseglade.observe.events import Journal, WORKSPACES_AT_RATE
 from primroseglade.sidecar.account import Allowance
 from primroseglade.sidecar.model import Tenant, Usage
 from primroseglade.sidecar.quota import Quotas
+from primroseglade.sidecar.rate_watch import RateWatch
 
 STATE_SECONDS = 0.5
 # What users allow in any window of five seconds, beyond rate and burst.
@@ -241,3 +243,24 @@
         passed += quotas.check(tenant, 1, now) * quotas.weigh(tenant, now)
     assert passed < 0.3 * 7000
     assert passed > 100.0 * 10
+
+
+def test_only_workspaces_at_their_rates_are_logged():
+    """Guards against omitting a workspace over its rate or logging one within it."""
+    quotas = Quotas(first_start=True)
+    journal = Journal("here")
+    watch = RateWatch(quotas, lambda: 2, journal)
+    calm = Tenant("calm", 1, 10.0, 10.0)
+    greedy = Tenant("greedy", 1, 10.0, 10.0)
+    quotas.take(calm, 2, 0.0)
+    watch.log_accounts(0.0)
+    assert not journal.recent
+    admitted = sum(quotas.take(greedy, 2, 0.1) for _ in range(30))
+    quotas.note_remote("other", {"greedy": Usage(5.0, 3)}, 0.2, whole=True)
+    watch.log_accounts(0.5)
+    (event,) = journal.recent
+    assert event["event"] == WORKSPACES_AT_RATE.number
+    assert list(event["workspaces"]) == ["greedy"]
+    fields = event["workspaces"]["greedy"]
+    counts = (fields["admitted"], fields["others"], fields["others_demand"])
+    assert counts == (admitted, 1, 5)
