Tests of a rate whose workspace suddenly asks for more, failing

A model of 14 nodes with the same rate does the same: nine seconds at the rate, then several times of it.

--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -26,6 +26,8 @@
     seconds: float,
     seed: int,
     first_start: bool = True,
+    rise: tuple[float, float] | None = None,
+    apart: tuple[float, float] | None = None,
 ):
     """Let calls of one workspace come to nodes that differ in demand.
 
@@ -37,6 +39,8 @@
         seed: Of arrivals.
         first_start: Whether the fleet starts for the first time; otherwise all of it
             was just started again.
+        rise: The demand before it rises, by the rate, and the second at which it does.
+        apart: Seconds between which each half of the nodes hears nothing of the other.
 
     Returns:
         The moments at which calls were let through, and the number of all calls.
@@ -47,7 +51,17 @@
     tenant = Tenant("north", 1, rate, rate)
     weights = [rng.uniform(0.5, 2.0) for _ in fleet]
     rates = [times * rate * weight / sum(weights) for weight in weights]
-    events = [(rng.expovariate(rates[node]), "call", node) for node in range(nodes)]
+    times_before, rise_at = rise or (times, 0.0)
+
+    def find_next_call(node: int, now: float) -> float:
+        if now < rise_at:
+            after = now + rng.expovariate(rates[node] * times_before / times)
+            if after < rise_at:
+                return after
+            now = rise_at
+        return now + rng.expovariate(rates[node])
+
+    events = [(find_next_call(node, 0.0), "call", node) for node in range(nodes)]
     events += [(rng.uniform(0, STATE_SECONDS), "tell", n) for n in range(nodes)]
     heapq.heapify(events)
     admitted: list[float] = []
@@ -58,12 +72,14 @@
             calls += 1
             if fleet[node].take(tenant, nodes, now):
                 admitted.append(now)
-            heapq.heappush(events, (now + rng.expovariate(rates[node]), kind, node))
+            heapq.heappush(events, (find_next_call(node, now), kind, node))
             continue
         told = fleet[node].describe_changes(now)
+        cut = apart is not None and apart[0] <= now < apart[1]
         for other, quotas in enumerate(fleet):
-            if other != node and told:
+            if other != node and not (cut and other % 2 != node % 2):
                 quotas.note_remote(str(node), told, now, whole=False)
+        fleet[node].forget_silent(now)
         period = STATE_SECONDS * rng.uniform(0.9, 1.1)
         heapq.heappush(events, (now + period, kind, node))
     return admitted, calls
@@ -95,6 +111,48 @@
     assert len(admitted) >= 0.75 * rate * 12.0
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    ("nodes", "rate", "times"),
+    [(14, 147.0, 7.5), (14, 147.0, 15.0), (18, 284.0, 7.5), (78, 284.0, 7.5)],
+)
+def test_a_workspace_at_its_rate_that_asks_for_more_keeps_to_it(
+    nodes: int, rate: float, times: float, seed: int
+):
+    """Guards against all nodes spending the same tokens when demand rises at once."""
+    admitted, _ = play(nodes, rate, times, 14.0, seed, rise=(1.1, 7.0))
+    allowed = (rate * WINDOW_SECONDS + rate) * OVERSHOOT + SLACK
+    assert find_worst_window(admitted) <= allowed
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    ("apart", "rise_at"), [((6.0, 11.0), 8.0), ((6.0, 15.0), 13.0)]
+)
+def test_a_rate_is_kept_while_nodes_do_not_hear_each_other(
+    apart: tuple[float, float], rise_at: float, seed: int
+):
+    """Guards against each half of a cut fleet taking more than its part of a rate."""
+    rate = 147.0
+    admitted, _ = play(14, rate, 7.5, 18.0, seed, rise=(1.06, rise_at), apart=apart)
+    allowed = (rate * WINDOW_SECONDS + rate) * OVERSHOOT + SLACK
+    assert find_worst_window(admitted) <= allowed
+
+
+def test_reports_as_expected_leave_the_tokens_of_an_idle_node():
+    """Guards against subtracting reported calls without the tokens that came since."""
+    quotas = Quotas(first_start=True)
+    tenant = Tenant("north", 1, 100.0, 100.0)
+    quotas.note_remote("other", {"north": Usage(50.0, 0)}, 0.0, whole=False)
+    quotas.take(tenant, 2, 0.0)
+    for step in range(1, 11):
+        now = step * 0.5
+        usage = Usage(50.0, step * 25)
+        quotas.note_remote("other", {"north": usage}, now, whole=False)
+    tokens = quotas.build_snapshots(2, 5.0)["north"].tokens
+    assert tokens >= 0.9 * tenant.burst
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
 def test_a_small_rate_is_kept_by_many_nodes(seed: int):
     """A workspace with a rate of 20 a second suddenly sent four times that over 78
