Keep a workspace's rate during a network partition

Each side compared its own rising demand with the demand that the other side had reported before the partition. Both sides spent the tokens of one bucket, and after six seconds each side forgot the other and took the full rate.

Change: a node is silent after 1.5 s without a report. Its demand is assumed to grow like that of the reporting nodes, so that these keep their share, and its excess to be in proportion to theirs. Its later reports are compared with these assumptions. A silent node is forgotten after 15 s instead of 6 s.

Known limits: demand that rises within a second of the start of the partition is admitted up to 1.14 of what is allowed in the model, as the nodes cut off are not yet known to be silent.

--- a/primroseglade/sidecar/account.py
+++ b/primroseglade/sidecar/account.py
@@ -10,6 +10,7 @@
 and they go on reckoning with it for as long as it may.
 """
 
+import collections
 import math
 import random
 
@@ -19,9 +20,17 @@
 # Demand is counted over this span: longer than two states are apart, short against the
 # window in which the rate must hold.
 DEMAND_SECONDS = 2.0
-# A node that was not heard of for so long is taken to spend nothing. Without peers
-# and store it may serve no keys any more by then.
-FORGET_SECONDS = 6.0
+# For this time after its start, a node may lack reports from the other nodes.
+STARTUP_SECONDS = 6.0
+# A node is silent after three missed reports: it may have stopped, or be behind a
+# network partition and still admit calls.
+SILENT_SECONDS = 1.5
+# A node is forgotten this long after its last report. Until then, each side of a
+# network partition reserves a share of the rate for the other.
+FORGET_SECONDS = 15.0
+# Number of recent fleet demands kept, one per report interval. They must span more
+# than SILENT_SECONDS, to include demand from before a silent node's last report.
+MAX_RECENT_DEMANDS = 5
 # Calls that a node may take back between two states; a number that is smaller by
 # more shows a restart.
 GIVEN_BACK = 50
@@ -98,15 +107,18 @@
     Attributes:
         demand: Calls a second that came there.
         admitted: Calls that it let through since it started.
-        flow: Of the account when that was told.
+        silent: Whether the node has stopped reporting.
     """
 
-    __slots__ = ("admitted", "demand", "flow")
+    __slots__ = ("_expected", "_flow", "admitted", "demand", "silent")
 
     def __init__(self, demand: float, admitted: int, flow: float):
         self.demand = demand
         self.admitted = admitted
-        self.flow = flow
+        self.silent = False
+        # Calls expected since the last report are counted up to this flow value.
+        self._flow = flow
+        self._expected = 0.0
 
     def update(self, told: Usage, flow: float) -> float:
         """Take in what it tells now; return calls that were not reckoned with."""
@@ -114,12 +126,23 @@
         if passed < -GIVEN_BACK:
             # So much smaller than before: the node was started again.
             passed = told.admitted
-        expected = self.demand * (flow - self.flow)
+        expected = self._expected + self.demand * (flow - self._flow)
         self.demand = told.demand
         self.admitted = told.admitted
-        self.flow = flow
+        self._flow = flow
+        self._expected = 0.0
         return passed - expected
 
+    def change_flow(self, old: float, new: float) -> None:
+        """Switch to another flow, keeping the calls expected so far.
+
+        Args:
+            old: Current value of the flow used until now.
+            new: Current value of the flow to use from now on.
+        """
+        self._expected += self.demand * (old - self._flow)
+        self._flow = new
+
 
 class AccountSnapshot:
     """The state of a workspace's account, for logs and metrics.
@@ -220,6 +243,20 @@
         self._unseen = 0.0
         self._told = Usage(0.0, 0)
         self._told_at = -math.inf
+        # Fleet demand known to this node, one value per report interval.
+        self._recent_demands: collections.deque[float] = collections.deque(
+            maxlen=MAX_RECENT_DEMANDS
+        )
+        # Last reported demand of the nodes that are now silent.
+        self._silent_demand = 0.0
+        # Demand of the reporting nodes before the others became silent. Growth of
+        # demand at silent nodes is estimated against it.
+        self._baseline_demand = FEW_CALLS
+        # As `_flow`, for silent nodes: includes the assumed growth of their demand.
+        self._silent_flow = 0.0
+        # Calls deducted because silent nodes may have exceeded expectation, less those
+        # that have been reported since.
+        self._silent_excess = 0.0
         # Calls that other nodes reported beyond expectation, decaying over time.
         self._reported_excess = 0.0
         # Calls admitted here beyond what the others expect, since the last reset.
@@ -261,6 +298,7 @@
         While there is any demand they reckon with a share of it, and must hear what
         came of it, also where that was nothing; but not at once while it is calm.
         """
+        self._recent_demands.append(self._told.demand + self._others_demand)
         usage = self.describe(now)
         if usage == self._told and not usage.demand:
             return None
@@ -268,6 +306,7 @@
             return None
         self._told = usage
         self._told_at = now
+        self._deduct_silent_excess(self._own_excess)
         self._reset_own_excess(now)
         return usage
 
@@ -289,11 +328,20 @@
             self._others[node] = RemoteUsage(told.demand, told.admitted, self._flow)
             self._note_past(min(told.admitted, told.demand))
             return
+        was_silent = known.silent
+        if was_silent:
+            self._clear_silent(known)
         self._others_demand += told.demand - known.demand
         unexpected = known.update(told, self._flow)
+        if was_silent:
+            # Calls deducted while the node was silent must not be counted twice.
+            deducted = min(self._silent_excess, max(0.0, unexpected))
+            self._silent_excess -= deducted
+            unexpected -= deducted
         if self._fleet_tokens is not None:
             self._fleet_tokens -= unexpected
             self._reported_excess += unexpected
+            self._deduct_silent_excess(unexpected)
 
     def _note_past(self, calls: float) -> None:
         """Take in what a node let through before it was first heard of.
@@ -305,10 +353,77 @@
         least = min(self._fleet_tokens, -self._limits.burst)
         self._fleet_tokens = max(least, self._fleet_tokens - calls)
 
+    def note_silent(self, node: str) -> None:
+        """Assume that a node that stopped reporting still admits calls.
+
+        During a network partition, both sides would otherwise spend the same tokens.
+        The node's demand is assumed to grow at the same ratio as that of the reporting
+        nodes, so that their share of the rate stays constant. Its excess is assumed to
+        be proportional to theirs.
+        """
+        usage = self._others.get(node)
+        if usage is None or usage.silent:
+            return
+        if not self._silent_demand:
+            # A remainder from earlier silent nodes must not offset new reports.
+            self._silent_excess = 0.0
+        usage.silent = True
+        usage.change_flow(self._flow, self._silent_flow)
+        self._silent_demand += usage.demand
+        # Uses the minimum, as demand may have risen since the node's last report.
+        reporting = min(self._recent_demands, default=0.0) - self._silent_demand
+        self._baseline_demand = max(FEW_CALLS, reporting)
+
+    def note_heard(self, node: str) -> None:
+        """Use the reports of a node again, if it was silent."""
+        usage = self._others.get(node)
+        if usage is not None and usage.silent:
+            self._clear_silent(usage)
+
     def forget(self, node: str) -> None:
         """Reckon with no further calls of a node that is not heard of any more."""
-        if self._others.pop(node, None) is not None:
-            self._others_demand = sum(usage.demand for usage in self._others.values())
+        usage = self._others.pop(node, None)
+        if usage is None:
+            return
+        if usage.silent:
+            self._clear_silent(usage)
+            # Undoes the addition in `_clear_silent`: this node does not report again.
+            self._baseline_demand -= usage.demand
+        self._others_demand = sum(other.demand for other in self._others.values())
+
+    def _clear_silent(self, usage: RemoteUsage) -> None:
+        usage.silent = False
+        usage.change_flow(self._silent_flow, self._flow)
+        # The demand of the reporting nodes includes this node from now on. It must not
+        # count as growth.
+        self._baseline_demand += usage.demand
+        self._silent_demand = sum(
+            other.demand for other in self._others.values() if other.silent
+        )
+
+    def _get_silent_growth(self) -> float:
+        """Return the assumed growth factor of demand at silent nodes."""
+        if not self._silent_demand:
+            return 1.0
+        reporting = self._told.demand + self._others_demand - self._silent_demand
+        return max(1.0, reporting / self._baseline_demand)
+
+    def _get_others_demand(self) -> float:
+        """Return the demand of the other nodes, with assumed growth at silent ones."""
+        growth = self._get_silent_growth() - 1.0
+        return self._others_demand + self._silent_demand * growth
+
+    def _deduct_silent_excess(self, excess: float) -> None:
+        """Deduct tokens for calls that silent nodes may admit beyond expectation.
+
+        Args:
+            excess: Calls beyond expectation at a reporting node.
+        """
+        if excess <= 0 or not self._silent_demand or self._fleet_tokens is None:
+            return
+        assumed = excess * self._silent_demand / self._baseline_demand
+        self._fleet_tokens -= assumed
+        self._silent_excess += assumed
 
     def check(
         self, tenant: Tenant, nodes: int, now: float, settled: bool = True
@@ -387,14 +502,16 @@
             before = tenant.rate * (now - self._started) / max(1, nodes)
             self._share_tokens = min(most, before)
         self._first_refill = False
-        demand = self.get_demand(now) + self._others_demand
+        others_demand = self._get_others_demand()
+        demand = self.get_demand(now) + others_demand
         # What the others let through until they tell: all of their demand, or their
         # share of the rate if the demand is higher. Reckoned by what they let through
         # last, all nodes would take the same tokens after each pause, and then none.
         part = min(1.0, tenant.rate / max(demand, 1e-9))
         self._flow += part * span
-        surplus = self._others_demand * (1.0 - part) * LAG_SECONDS
-        rise = self._others_demand * self._estimate_rise(now) * LAG_SECONDS
+        self._silent_flow += part * span * self._get_silent_growth()
+        surplus = others_demand * (1.0 - part) * LAG_SECONDS
+        rise = others_demand * self._estimate_rise(now) * LAG_SECONDS
         self._own_excess -= self._told.demand * part * span
         if now - self._own_excess_since > OWN_EXCESS_RESET_SECONDS:
             self._reset_own_excess(now)
@@ -402,7 +519,7 @@
         self._reported_excess *= math.exp(-span / REPORTED_EXCESS_DECAY_SECONDS)
         unreported = UNREPORTED_RATIO * self._reported_excess
         self._unseen = surplus + max(rise, unseen_excess, unreported)
-        gained = tenant.rate * span - self._others_demand * part * span
+        gained = tenant.rate * span - others_demand * part * span
         # A debt is paid back within the window in which the rate must hold, and not
         # kept for ever: part of it may be an error.
         most_owed = tenant.burst
@@ -419,7 +536,7 @@
 
     def _is_new(self, now: float) -> bool:
         """Whether this node was started again so lately that it knows little."""
-        return now - self._started < FORGET_SECONDS and not self._full
+        return now - self._started < STARTUP_SECONDS and not self._full
 
     def _estimate_rise(self, now: float) -> float:
         """Return by how much demand rose since it was told, as a part of that.
@@ -445,7 +562,7 @@
         expectation as this node does, in proportion to demand. This limits each node to
         its share of the remaining tokens until the others report their calls.
         """
-        total_demand = self._told.demand + self._others_demand
+        total_demand = self._told.demand + self._get_others_demand()
         share = max(1.0 / max(1, nodes), self._told.demand / max(total_demand, 1e-9))
         # Calls of the other nodes assumed for each call of this node.
         others_ratio = (1.0 - share) / share
@@ -455,10 +572,10 @@
         return max(0.0, self._own_excess - tolerance) * others_ratio
 
     def _get_share(self, nodes: int, now: float) -> float:
-        if len(self._others) * 2 < nodes - 1 and now - self._since < FORGET_SECONDS:
+        if len(self._others) * 2 < nodes - 1 and now - self._since < STARTUP_SECONDS:
             # Just started: most have not told yet what they spend.
             return 1.0 / nodes
         # Uses the last reported demand, as for the other nodes. With newer figures,
         # shares would add up to more than one while demand rises on all nodes.
         own = self._told.demand or self.get_demand(now)
-        return own / max(own + self._others_demand, 1e-9)
+        return own / max(own + self._get_others_demand(), 1e-9)
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -2,7 +2,13 @@
 
 import random
 
-from .account import Account, AccountSnapshot, Allowance, FORGET_SECONDS
+from .account import (
+    Account,
+    AccountSnapshot,
+    Allowance,
+    FORGET_SECONDS,
+    SILENT_SECONDS,
+)
 from .model import Tenant, Usage
 
 
@@ -29,6 +35,7 @@
         self._rng = rng or random.Random()
         self._accounts: dict[str, Account] = {}
         self._heard_at: dict[str, float] = {}
+        self._silent: set[str] = set()
 
     def take(
         self, tenant: Tenant, nodes: int, now: float, settled: bool = True
@@ -74,6 +81,11 @@
                 node that was started again has forgotten what it told before.
         """
         self._heard_at[node] = now
+        if node in self._silent:
+            self._silent.remove(node)
+            for name, account in self._accounts.items():
+                if name not in usage:
+                    account.note_heard(node)
         if whole:
             for name, account in self._accounts.items():
                 if name not in usage:
@@ -85,12 +97,17 @@
             account.note_remote(node, told)
 
     def forget_silent(self, now: float) -> None:
-        """Reckon no longer with nodes that were not heard of for long."""
+        """Mark nodes that stopped reporting as silent; forget them after a while."""
         for node, heard_at in list(self._heard_at.items()):
             if now - heard_at > FORGET_SECONDS:
                 del self._heard_at[node]
+                self._silent.discard(node)
                 for account in self._accounts.values():
                     account.forget(node)
+            elif now - heard_at > SILENT_SECONDS and node not in self._silent:
+                self._silent.add(node)
+                for account in self._accounts.values():
+                    account.note_silent(node)
 
     def describe(self, now: float) -> dict[str, Usage]:
         """Return what to tell a node that knows nothing yet."""
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -144,6 +144,26 @@
     assert find_worst_window(admitted) <= allowed
 
 
+def test_a_returning_node_does_not_raise_the_demand_assumed_at_silent_nodes():
+    """Guards against counting the demand of a node that reports again as growth."""
+    quotas = Quotas(first_start=True)
+    tenant = Tenant("north", 1, 100.0, 100.0)
+    for step in range(1, 61):
+        now = step * 0.1
+        quotas.take(tenant, 3, now)
+        if step % 5 == 0:
+            quotas.describe_changes(now)
+        if step % 5 == 0 and (now <= 3.0 or now > 5.0):
+            usage = Usage(10.0, step)
+            quotas.note_remote("returning", {"north": usage}, now, whole=False)
+        if step % 5 == 0 and now <= 3.0:
+            usage = Usage(10.0, step)
+            quotas.note_remote("silent", {"north": usage}, now, whole=False)
+        quotas.forget_silent(now)
+    share = quotas.build_snapshots(3, now)["north"].share
+    assert share >= 0.3
+
+
 def test_expected_reports_do_not_drain_the_bucket_of_an_idle_node():
     """Guards against deducting reported calls without refilling the bucket."""
     quotas = Quotas(first_start=True)
