Move the usage of other nodes into its own module

account.py had grown to 581 lines and had two responsibilities: the tokens that a node sees, and the usage expected of the other nodes, including silent ones.

--- a/primroseglade/sidecar/account.py
+++ b/primroseglade/sidecar/account.py
@@ -10,11 +10,12 @@
 and they go on reckoning with it for as long as it may.
 """
 
-import collections
 import math
 import random
 
+from .account_snapshot import AccountSnapshot
 from .model import Tenant, Usage
+from .other_nodes import FEW_CALLS, OtherNodes
 from .retry_budget import SlidingCount
 
 # Demand is counted over this span: longer than two states are apart, short against the
@@ -22,18 +23,6 @@
 DEMAND_SECONDS = 2.0
 # For this time after its start, a node may lack reports from the other nodes.
 STARTUP_SECONDS = 6.0
-# A node is silent after three missed reports: it may have stopped, or be behind a
-# network partition and still admit calls.
-SILENT_SECONDS = 1.5
-# A node is forgotten this long after its last report. Until then, each side of a
-# network partition reserves a share of the rate for the other.
-FORGET_SECONDS = 15.0
-# Number of recent fleet demands kept, one per report interval. They must span more
-# than SILENT_SECONDS, to include demand from before a silent node's last report.
-MAX_RECENT_DEMANDS = 5
-# Calls that a node may take back between two states; a number that is smaller by
-# more shows a restart.
-GIVEN_BACK = 50
 # With this part of a burst let through too much, shares let nothing through until the
 # rate has made up for it; with more of it, a window may hold more than is allowed.
 MOST_DEBT = 0.3
@@ -54,7 +43,6 @@
 # told, give or take a part, or some calls a second where there are few.
 CALM_TOKENS = 0.5
 CALM_DEMAND = 0.25
-FEW_CALLS = 1.0
 # A rise of demand is reckoned with up to this many times what was told.
 MOST_RISE = 10.0
 # This node's excess is reset after this time even without a report. Unless a workspace
@@ -101,108 +89,6 @@
         return Tenant(tenant.name, tenant.priority, tenant.rate * self._part, burst)
 
 
-class RemoteUsage:
-    """What another node told of a workspace's calls.
-
-    Attributes:
-        demand: Calls a second that came there.
-        admitted: Calls that it let through since it started.
-        silent: Whether the node has stopped reporting.
-    """
-
-    __slots__ = ("_expected", "_flow", "admitted", "demand", "silent")
-
-    def __init__(self, demand: float, admitted: int, flow: float):
-        self.demand = demand
-        self.admitted = admitted
-        self.silent = False
-        # Calls expected since the last report are counted up to this flow value.
-        self._flow = flow
-        self._expected = 0.0
-
-    def update(self, told: Usage, flow: float) -> float:
-        """Take in what it tells now; return calls that were not reckoned with."""
-        passed = told.admitted - self.admitted
-        if passed < -GIVEN_BACK:
-            # So much smaller than before: the node was started again.
-            passed = told.admitted
-        expected = self._expected + self.demand * (flow - self._flow)
-        self.demand = told.demand
-        self.admitted = told.admitted
-        self._flow = flow
-        self._expected = 0.0
-        return passed - expected
-
-    def change_flow(self, old: float, new: float) -> None:
-        """Switch to another flow, keeping the calls expected so far.
-
-        Args:
-            old: Current value of the flow used until now.
-            new: Current value of the flow to use from now on.
-        """
-        self._expected += self.demand * (old - self._flow)
-        self._flow = new
-
-
-class AccountSnapshot:
-    """The state of a workspace's account, for logs and metrics.
-
-    Attributes:
-        rate: Enforced calls per second, including the allowance.
-        burst: Enforced burst in calls, including the allowance.
-        demand: Calls per second received by this node.
-        others_demand: Calls per second received by the other nodes, as last reported.
-        others: Number of other nodes whose reports are counted.
-        tokens: Tokens left in the fleet's bucket, as this node sees it.
-        unseen: Tokens reserved for calls that other nodes have not reported yet.
-        share: Fraction of the rate that this node admits when the bucket is empty.
-        admitted: Calls admitted by this node since its start.
-    """
-
-    __slots__ = (
-        "admitted",
-        "burst",
-        "demand",
-        "others",
-        "others_demand",
-        "rate",
-        "share",
-        "tokens",
-        "unseen",
-    )
-
-    def __init__(
-        self,
-        rate: float,
-        burst: float,
-        demand: float,
-        others_demand: float,
-        others: int,
-        tokens: float,
-        unseen: float,
-        share: float,
-        admitted: int,
-    ):
-        self.rate = rate
-        self.burst = burst
-        self.demand = demand
-        self.others_demand = others_demand
-        self.others = others
-        self.tokens = tokens
-        self.unseen = unseen
-        self.share = share
-        self.admitted = admitted
-
-    @property
-    def low_on_tokens(self) -> bool:
-        """Whether unreserved tokens are below `CALM_TOKENS` of the burst."""
-        return self.tokens - self.unseen < CALM_TOKENS * self.burst
-
-    def to_fields(self) -> dict[str, float]:
-        """Return the attributes as log fields, rounded to two decimals."""
-        return {name: round(getattr(self, name), 2) for name in self.__slots__}
-
-
 class Account:
     """One workspace's tokens as this node sees them.
 
@@ -234,29 +120,11 @@
         self._refilled_at = now
         self._fleet_tokens: float | None = None if full else 0.0
         self._share_tokens = 0.0
-        self._others: dict[str, RemoteUsage] = {}
-        self._others_demand = 0.0
-        # Calls reckoned with by now for each call a second of another node's demand:
-        # one sum for all nodes, so that a call costs the same however many there are.
-        self._flow = 0.0
+        self._others = OtherNodes()
         # Calls beyond their shares that the others may have let through and not told.
         self._unseen = 0.0
         self._told = Usage(0.0, 0)
         self._told_at = -math.inf
-        # Fleet demand known to this node, one value per report interval.
-        self._recent_demands: collections.deque[float] = collections.deque(
-            maxlen=MAX_RECENT_DEMANDS
-        )
-        # Last reported demand of the nodes that are now silent.
-        self._silent_demand = 0.0
-        # Demand of the reporting nodes before the others became silent. Growth of
-        # demand at silent nodes is estimated against it.
-        self._baseline_demand = FEW_CALLS
-        # As `_flow`, for silent nodes: includes the assumed growth of their demand.
-        self._silent_flow = 0.0
-        # Calls deducted because silent nodes may have exceeded expectation, less those
-        # that have been reported since.
-        self._silent_excess = 0.0
         # Calls that other nodes reported beyond expectation, decaying over time.
         self._reported_excess = 0.0
         # Calls admitted here beyond what the others expect, since the last reset.
@@ -280,7 +148,7 @@
             limits.rate,
             limits.burst,
             self.get_demand(now),
-            self._others_demand,
+            self._others.reported_demand,
             len(self._others),
             self._fleet_tokens,
             self._unseen,
@@ -298,7 +166,7 @@
         While there is any demand they reckon with a share of it, and must hear what
         came of it, also where that was nothing; but not at once while it is calm.
         """
-        self._recent_demands.append(self._told.demand + self._others_demand)
+        self._others.record_fleet_demand()
         usage = self.describe(now)
         if usage == self._told and not usage.demand:
             return None
@@ -306,6 +174,7 @@
             return None
         self._told = usage
         self._told_at = now
+        self._others.note_own_report(usage.demand)
         self._deduct_silent_excess(self._own_excess)
         self._reset_own_excess(now)
         return usage
@@ -322,108 +191,39 @@
 
     def note_remote(self, node: str, told: Usage) -> None:
         """Take in what another node told."""
-        known = self._others.get(node)
-        if known is None:
-            self._others_demand += told.demand
-            self._others[node] = RemoteUsage(told.demand, told.admitted, self._flow)
+        unexpected = self._others.note_report(node, told)
+        if unexpected is None:
             self._note_past(min(told.admitted, told.demand))
-            return
-        was_silent = known.silent
-        if was_silent:
-            self._clear_silent(known)
-        self._others_demand += told.demand - known.demand
-        unexpected = known.update(told, self._flow)
-        if was_silent:
-            # Calls deducted while the node was silent must not be counted twice.
-            deducted = min(self._silent_excess, max(0.0, unexpected))
-            self._silent_excess -= deducted
-            unexpected -= deducted
-        if self._fleet_tokens is not None:
+        elif self._fleet_tokens is not None:
             self._fleet_tokens -= unexpected
             self._reported_excess += unexpected
             self._deduct_silent_excess(unexpected)
 
-    def _note_past(self, calls: float) -> None:
-        """Take in what a node let through before it was first heard of.
-
-        Of a long history only the newest part can still matter, a burst at the most.
-        """
-        if self._fleet_tokens is None or self._limits is None:
-            return
-        least = min(self._fleet_tokens, -self._limits.burst)
-        self._fleet_tokens = max(least, self._fleet_tokens - calls)
-
     def note_silent(self, node: str) -> None:
-        """Assume that a node that stopped reporting still admits calls.
-
-        During a network partition, both sides would otherwise spend the same tokens.
-        The node's demand is assumed to grow at the same ratio as that of the reporting
-        nodes, so that their share of the rate stays constant. Its excess is assumed to
-        be proportional to theirs.
-        """
-        usage = self._others.get(node)
-        if usage is None or usage.silent:
-            return
-        if not self._silent_demand:
-            # A remainder from earlier silent nodes must not offset new reports.
-            self._silent_excess = 0.0
-        usage.silent = True
-        usage.change_flow(self._flow, self._silent_flow)
-        self._silent_demand += usage.demand
-        # Uses the minimum, as demand may have risen since the node's last report.
-        reporting = min(self._recent_demands, default=0.0) - self._silent_demand
-        self._baseline_demand = max(FEW_CALLS, reporting)
+        """Assume that a node that stopped reporting still admits calls."""
+        self._others.note_silent(node)
 
     def note_heard(self, node: str) -> None:
-        """Use the reports of a node again, if it was silent."""
-        usage = self._others.get(node)
-        if usage is not None and usage.silent:
-            self._clear_silent(usage)
+        """Treat a silent node as reporting again."""
+        self._others.note_heard(node)
 
     def forget(self, node: str) -> None:
         """Reckon with no further calls of a node that is not heard of any more."""
-        usage = self._others.pop(node, None)
-        if usage is None:
-            return
-        if usage.silent:
-            self._clear_silent(usage)
-            # Undoes the addition in `_clear_silent`: this node does not report again.
-            self._baseline_demand -= usage.demand
-        self._others_demand = sum(other.demand for other in self._others.values())
-
-    def _clear_silent(self, usage: RemoteUsage) -> None:
-        usage.silent = False
-        usage.change_flow(self._silent_flow, self._flow)
-        # The demand of the reporting nodes includes this node from now on. It must not
-        # count as growth.
-        self._baseline_demand += usage.demand
-        self._silent_demand = sum(
-            other.demand for other in self._others.values() if other.silent
-        )
-
-    def _get_silent_growth(self) -> float:
-        """Return the assumed growth factor of demand at silent nodes."""
-        if not self._silent_demand:
-            return 1.0
-        reporting = self._told.demand + self._others_demand - self._silent_demand
-        return max(1.0, reporting / self._baseline_demand)
-
-    def _get_others_demand(self) -> float:
-        """Return the demand of the other nodes, with assumed growth at silent ones."""
-        growth = self._get_silent_growth() - 1.0
-        return self._others_demand + self._silent_demand * growth
+        self._others.forget(node)
 
     def _deduct_silent_excess(self, excess: float) -> None:
-        """Deduct tokens for calls that silent nodes may admit beyond expectation.
+        if self._fleet_tokens is not None:
+            self._fleet_tokens -= self._others.assume_silent_excess(excess)
 
-        Args:
-            excess: Calls beyond expectation at a reporting node.
+    def _note_past(self, calls: float) -> None:
+        """Deduct calls that a node admitted before its first report.
+
+        Only recent calls still matter: the debt is limited to one burst.
         """
-        if excess <= 0 or not self._silent_demand or self._fleet_tokens is None:
+        if self._fleet_tokens is None or self._limits is None:
             return
-        assumed = excess * self._silent_demand / self._baseline_demand
-        self._fleet_tokens -= assumed
-        self._silent_excess += assumed
+        least = min(self._fleet_tokens, -self._limits.burst)
+        self._fleet_tokens = max(least, self._fleet_tokens - calls)
 
     def check(
         self, tenant: Tenant, nodes: int, now: float, settled: bool = True
@@ -460,7 +260,7 @@
 
     def weigh(self, tenant: Tenant, now: float) -> float:
         """Return which part of its calls a workspace may ask for."""
-        asked = self.get_demand(now) + self._others_demand
+        asked = self.get_demand(now) + self._others.reported_demand
         if tenant.rate <= 0 or asked <= 0:
             return 1.0
         return min(1.0, tenant.rate * MOST_ASKED / asked)
@@ -502,14 +302,13 @@
             before = tenant.rate * (now - self._started) / max(1, nodes)
             self._share_tokens = min(most, before)
         self._first_refill = False
-        others_demand = self._get_others_demand()
+        others_demand = self._others.demand
         demand = self.get_demand(now) + others_demand
         # What the others let through until they tell: all of their demand, or their
         # share of the rate if the demand is higher. Reckoned by what they let through
         # last, all nodes would take the same tokens after each pause, and then none.
         part = min(1.0, tenant.rate / max(demand, 1e-9))
-        self._flow += part * span
-        self._silent_flow += part * span * self._get_silent_growth()
+        self._others.advance_flow(part * span)
         surplus = others_demand * (1.0 - part) * LAG_SECONDS
         rise = others_demand * self._estimate_rise(now) * LAG_SECONDS
         self._own_excess -= self._told.demand * part * span
@@ -562,7 +361,7 @@
         expectation as this node does, in proportion to demand. This limits each node to
         its share of the remaining tokens until the others report their calls.
         """
-        total_demand = self._told.demand + self._get_others_demand()
+        total_demand = self._told.demand + self._others.demand
         share = max(1.0 / max(1, nodes), self._told.demand / max(total_demand, 1e-9))
         # Calls of the other nodes assumed for each call of this node.
         others_ratio = (1.0 - share) / share
@@ -578,4 +377,4 @@
         # Uses the last reported demand, as for the other nodes. With newer figures,
         # shares would add up to more than one while demand rises on all nodes.
         own = self._told.demand or self.get_demand(now)
-        return own / max(own + self._get_others_demand(), 1e-9)
+        return own / max(own + self._others.demand, 1e-9)
--- a/primroseglade/sidecar/quota.py
+++ b/primroseglade/sidecar/quota.py
@@ -2,14 +2,10 @@
 
 import random
 
-from .account import (
-    Account,
-    AccountSnapshot,
-    Allowance,
-    FORGET_SECONDS,
-    SILENT_SECONDS,
-)
+from .account import Account, Allowance
+from .account_snapshot import AccountSnapshot
 from .model import Tenant, Usage
+from .other_nodes import FORGET_SECONDS, SILENT_SECONDS
 
 
 class Quotas:
--- a/primroseglade/sidecar/rate_watch.py
+++ b/primroseglade/sidecar/rate_watch.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from ..observe.events import Journal, WORKSPACES_AT_RATE
-from .account import AccountSnapshot
+from .account_snapshot import AccountSnapshot
 from .quota import Quotas
 
 RATE_LOG_SECONDS = 1.0
