--- a/primroseglade/sidecar/account.py
+++ b/primroseglade/sidecar/account.py
@@ -1,13 +1,14 @@
 """A workspace's rate and burst over the whole fleet, with nobody to ask.
 
-Each node reckons with one bucket of tokens for the fleet: filled at the workspace's
-rate, emptied by its own calls, by those that the others told of with their last
-states, and by what they will have let through since. While that bucket has
-tokens, any node may use them, whatever its share of the demand. When it is empty,
-each node lets through its share of the rate, and shares follow demand. They add up
-to one as long as views agree, and views differ only by what changed since states were
-told. A node that the others cannot reach goes on with the share that it had,
-and they go on reckoning with it for as long as it may.
+Each node keeps its own estimate of one token bucket for the fleet. The bucket is
+refilled at the workspace's rate, and drained by the calls that the node admits, by
+those that other nodes reported with their last states, and by those that they are
+expected to have admitted since. While the bucket has tokens, any node may spend them,
+except those reserved for calls that other nodes may have admitted beyond expectation.
+When it is empty, each node admits its share of the rate, and shares follow reported
+demand. Shares add up to one as long as the nodes' views agree, and views differ only
+by what changed since the last reports. A node that the others cannot reach continues
+with its last share, and the others keep that share allotted to it (`other_nodes.py`).
 """
 
 import math
