Measure growth at silent nodes from their last report

A node had stopped for good one second after demand began.

Cause: the demand of the reporting nodes was compared with its lowest value of the last 2.5 s, which was zero at the start of demand. Demand at the silent node was assumed to have grown a hundredfold, and nearly all of each workspace's rate was kept for it for 15 s.

Change: growth is measured from the demand at the time of the node's last report, and bounded by a factor of 8.

Measured: the new test reads a share of 0.010 before and at least 0.25 after, of 0.33.

--- a/primroseglade/sidecar/other_nodes.py
+++ b/primroseglade/sidecar/other_nodes.py
@@ -7,9 +7,9 @@
 # A node's count of admitted calls may decrease by this much between two reports, as
 # calls are given back. A larger decrease indicates a restart.
 GIVEN_BACK = 50
-# Number of recent fleet demands kept, one per report interval. They must span more
-# than SILENT_SECONDS, to include demand from before a silent node's last report.
-MAX_RECENT_DEMANDS = 5
+# Number of recent fleet demands kept, one per report interval. The oldest is from the
+# time of the last report of a node that is found to be silent.
+MAX_RECENT_DEMANDS = 4
 # A node is silent after three missed reports: it may have stopped, or be behind a
 # network partition and still admit calls.
 SILENT_SECONDS = 1.5
@@ -18,6 +18,8 @@
 FORGET_SECONDS = 15.0
 # Calls per second below which a change in demand or a baseline is negligible.
 FEW_CALLS = 1.0
+# Upper bound of the growth of demand assumed at silent nodes.
+MAX_GROWTH = 8.0
 
 
 class RemoteUsage:
@@ -166,9 +168,9 @@
         usage.silent = True
         usage.change_flow(self._flow, self._silent_flow)
         self._silent_demand += usage.demand
-        # Uses the minimum, as demand may have risen since the node's last report.
-        reporting = min(self._recent_demands, default=0.0) - self._silent_demand
-        self._baseline_demand = max(FEW_CALLS, reporting)
+        # As of the node's last report: demand may have risen since.
+        fleet = self._recent_demands[0] if self._recent_demands else 0.0
+        self._baseline_demand = max(FEW_CALLS, fleet - self._silent_demand)
 
     def note_heard(self, node: str) -> None:
         """Treat a silent node as reporting again."""
@@ -202,4 +204,4 @@
         if not self._silent_demand:
             return 1.0
         reporting = self._own_demand + self._demand - self._silent_demand
-        return max(1.0, reporting / self._baseline_demand)
+        return min(MAX_GROWTH, max(1.0, reporting / self._baseline_demand))
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -164,6 +164,29 @@
     assert share >= 0.3
 
 
+def test_a_node_that_stops_just_after_demand_began_does_not_take_over_the_rate():
+    """Guards against reading the start of demand as growth at a silent node."""
+    quotas = Quotas(first_start=True)
+    tenant = Tenant("north", 1, 100.0, 100.0)
+    for step in range(1, 91):
+        now = step * 0.1
+        report_due = step % 5 == 0
+        if now > 5.0:
+            for _ in range(5):
+                quotas.take(tenant, 3, now)
+        demand = 50.0 if now > 5.0 else 0.0
+        usage = Usage(demand, max(0, step - 50) * 5)
+        if report_due:
+            quotas.describe_changes(now)
+            quotas.note_remote("steady", {"north": usage}, now, whole=False)
+        if report_due and now <= 5.5:
+            quotas.note_remote("stopped", {"north": usage}, now, whole=False)
+        if report_due:
+            quotas.forget_silent(now)
+    share = quotas.build_snapshots(3, now)["north"].share
+    assert share >= 0.25
+
+
 def test_calls_given_back_reserve_no_tokens():
     """Guards against refusing calls within the rate after calls are given back."""
     quotas = Quotas(first_start=True)
