Ask the platform's store less often

What the first reader knew grew older on its way through two questions, each of them asked twice a second, than the age at which every node asks the store itself. Each zone's reader waited for news (54 calls), and each start read the configuration that neighbours had (32).

Change: read_schedule.py sets ages from the time within which a configuration must be in force; readers ask the first of them four times a second; two of them wait for news. Pauses grow while the store fails, and a position is given up only if the store says that it is gone.

--- a/primroseglade/platform/settings.py
+++ b/primroseglade/platform/settings.py
@@ -62,6 +62,7 @@
         first_start=fields.get_flag("first_start"),
         grace=bounds.get_seconds("grace", 6.0),
         revoke=bounds.get_seconds("revoke", 5.0),
+        config_apply=bounds.get_seconds("config_apply", 2.0),
         retry_ratio=bounds.get_number("retry_budget_ratio", 0.2),
         retry_fixed=bounds.get_number("budget_min_retries", 50),
         retry_window=bounds.get_seconds("budget_window", 10.0),
--- a/primroseglade/platform/store.py
+++ b/primroseglade/platform/store.py
@@ -12,10 +12,12 @@
 from ..observe.events import ENTRY_UNREADABLE, Journal
 from ..sidecar.http_client import Answer, ConnectionPool, ExchangeError
 from ..sidecar.model import NodeEntry, Policy
-from ..sidecar.policy_keeper import PolicyRecord, StoreError
+from ..sidecar.policy_keeper import PolicyRecord, PositionGoneError, StoreError
 from .operator_config import decode_policy
 
 CONNECT_SECONDS = 1.0
+# The records that a read asks for have been deleted.
+GONE = 410
 # Written by operators; nodes may only read it.
 OPERATOR_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
@@ -86,7 +88,8 @@
         """Return what the operator published since a position, None if nothing.
 
         Raises:
-            StoreError: No usable answer, or the position is gone.
+            PositionGoneError: What came since is not there any more.
+            StoreError: No usable answer.
         """
         query = {
             "topic": OPERATOR_TOPIC,
@@ -100,7 +103,8 @@
             raise StoreError("a read of less than its positions")
         end, first = POSITIONS.unpack_from(data)
         if end < offset or first > offset:
-            raise StoreError(f"position {offset} is not between {first} and {end}")
+            detail = f"position {offset} is not between {first} and {end}"
+            raise PositionGoneError(detail)
         records = split_records(data[POSITIONS.size :])
         if not records:
             return None
@@ -202,6 +206,8 @@
             raise StoreError(f"{path}: no answer within {timeout:.1f} s") from error
         except ExchangeError as error:
             raise StoreError(f"{path}: {error.detail}") from error
+        if answer.status == GONE:
+            raise PositionGoneError(f"{path}: status {answer.status}")
         if answer.status != 200:
             raise StoreError(f"{path}: status {answer.status}")
         return answer
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -233,6 +233,22 @@
     service: str
     started: int
 
+    def is_found_by(self, other: "NodeEntry") -> bool:
+        """Whether another entry leads to this node, if perhaps to an earlier process.
+
+        >>> entry = NodeEntry("n-1", "127.0.0.1:1", "a", "deep", 2)
+        >>> entry.is_found_by(NodeEntry("n-1", "127.0.0.1:1", "a", "deep", 1))
+        True
+        >>> entry.is_found_by(NodeEntry("n-1", "127.0.0.1:2", "a", "deep", 1))
+        False
+        """
+        return (self.name, self.address, self.zone, self.service) == (
+            other.name,
+            other.address,
+            other.zone,
+            other.service,
+        )
+
 
 class NodeState(msgspec.Struct, array_like=True):
     """What a node tells the others about itself, first whole and then as it changes.
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -38,7 +38,7 @@
 from .own_calls import OwnCalls
 from .peer import Peer
 from .peer_server import PeerServer
-from .peer_watch import ASK_SECONDS, PeerWatch
+from .peer_watch import PeerWatch, READER_ASK_SECONDS
 from .policy_keeper import PolicyKeeper, StoreError
 from .rate_control import RateControl
 from .rate_watch import RATE_LOG_SECONDS
@@ -105,7 +105,14 @@
             int(time.time() * 1000),
         )
         self._supervisor = Supervisor("node", journal)
-        self.policies = PolicyKeeper(store, settings.revoke, journal, self._tell_all)
+        self.policies = PolicyKeeper(
+            store,
+            settings.revoke,
+            settings.config_apply,
+            settings.first_start,
+            journal,
+            self._tell_all,
+        )
         self.own_calls = OwnCalls()
         self.backend = Backend(
             settings.service,
@@ -342,7 +349,7 @@
         ticker.add(self._teller.tell, TELL_SECONDS)
         # Before the peers are asked: the question to the reader carries the lease.
         ticker.add(self.rates.renew_lease)
-        ticker.add(self._peer_watch.ask, ASK_SECONDS)
+        ticker.add(self._peer_watch.ask, READER_ASK_SECONDS)
         ticker.add(self.rates.watch.log_buckets, RATE_LOG_SECONDS)
         ticker.add(lambda _: tell_crossed(self.crossed, self._journal), BYTES_SECONDS)
         return ticker
@@ -383,15 +390,21 @@
         """Make this node known in the store, then find the others there.
 
         In this order: of two nodes that start at once, at least one finds the other,
-        and introduces itself on the stream that it opens.
+        and introduces itself on the stream that it opens. A restarted node is known:
+        the others learn from its stream that its process is a new one.
         """
         written = False
         while True:
             try:
-                if not written:
+                if self._settings.first_start and not written:
+                    await self._store.write_node(self._entry, STORE_TIMEOUT_SECONDS)
+                    written = True
+                entries = await self._store.list_nodes(STORE_TIMEOUT_SECONDS)
+                if not written and not any(map(self._entry.is_found_by, entries)):
                     await self._store.write_node(self._entry, STORE_TIMEOUT_SECONDS)
                     written = True
-                for entry in await self._store.list_nodes(STORE_TIMEOUT_SECONDS):
+                    continue
+                for entry in entries:
                     self.fleet.learn(entry)
                 self._introduced = True
                 return
--- a/primroseglade/sidecar/node_settings.py
+++ b/primroseglade/sidecar/node_settings.py
@@ -18,6 +18,7 @@
         first_start: Whether the whole fleet starts for the first time.
         grace: Seconds from SIGTERM to SIGKILL.
         revoke: Seconds within which a withdrawn key must stop working.
+        config_apply: Seconds within which a configuration must be in force.
         retry_ratio: Repeats for each first attempt, over the fleet.
         retry_fixed: Repeats in a window besides, over the fleet.
         retry_window: Seconds.
@@ -27,6 +28,7 @@
 
     __slots__ = (
         "backend",
+        "config_apply",
         "control",
         "first_start",
         "grace",
@@ -61,6 +63,7 @@
         first_start: bool,
         grace: float,
         revoke: float,
+        config_apply: float,
         retry_ratio: float,
         retry_fixed: float,
         retry_window: float,
@@ -80,6 +83,7 @@
         self.first_start = first_start
         self.grace = grace
         self.revoke = revoke
+        self.config_apply = config_apply
         self.retry_ratio = retry_ratio
         self.retry_fixed = retry_fixed
         self.retry_window = retry_window
--- a/primroseglade/sidecar/peer_watch.py
+++ b/primroseglade/sidecar/peer_watch.py
@@ -7,11 +7,10 @@
 from .fleet import Fleet
 from .policy_keeper import PolicyKeeper
 
-# How often peers are asked how old the configuration is, in seconds.
+# How often peers are asked how old the configuration is, in seconds: readers ask the
+# first of them, nodes ask the reader of their zone.
+READER_ASK_SECONDS = 0.25
 ASK_SECONDS = 0.5
-# While its knowledge is younger, a node asks in its own availability zone only. Older
-# than those know who ask each other, younger than what sends nodes to the store.
-FRESH_SECONDS = 1.2
 # How often streams are looked at for silence, in seconds, while calls wait for answers;
 # and while none do, to see whether this process stood still.
 SILENCE_SECONDS = 0.1
@@ -44,18 +43,23 @@
         self._policies = policies
         self._note_late = note_late
         self._late_until = 0.0
+        self._turns = 0
 
     def ask(self, now: float) -> None:
         """Ask how old the configuration is: near, and farther where that is no use."""
         readers = self._fleet.list_readers()
         rank = readers.index(self._node) if self._node in readers else None
         self._policies.set_rank(rank)
-        everywhere = rank is not None or self._policies.age > FRESH_SECONDS
-        for name in readers:
+        self._turns += 1
+        if rank is None and self._turns % (ASK_SECONDS / READER_ASK_SECONDS):
+            return
+        overdue = self._policies.is_overdue
+        for place, name in enumerate(readers):
             peer = self._fleet.get(name)
             if peer is None:
                 continue
-            if everywhere or peer.entry.zone == self._fleet.zone:
+            first = place == 0 and rank is not None
+            if overdue or first or peer.entry.zone == self._fleet.zone:
                 peer.ask_policy_age()
 
     async def run_silence(self) -> None:
--- a/primroseglade/sidecar/policy_keeper.py
+++ b/primroseglade/sidecar/policy_keeper.py
@@ -18,17 +18,10 @@
 from .freshness import Freshness
 from .model import CallerLimits, Policy
 from .peer import Peer
+from .read_schedule import ReadSchedule
 from .route_table import RouteTable
 
-# The first of the nodes that others ask reads when its own knowledge is this old, and
-# each further one a step later: about one short read a second for the fleet.
-READ_AGE_SECONDS = 0.6
-READ_STEP_SECONDS = 0.3
-# The rest read when nobody whom they ask knows better, and not all at once: before the
-# two seconds are over within which a configuration must be in force.
-LONE_READ_AGE_SECONDS = 1.5
-READ_SPREAD_SECONDS = 0.4
-# A node that hears nothing from peers asks the store itself, no more often than this.
+# A node asks the store no more often than this.
 CHECK_SECONDS = 0.2
 # How long a read waits in the store for news. Long waits cost few calls.
 NEWS_WAIT_SECONDS = 20.0
@@ -37,6 +30,7 @@
 READ_TIMEOUT_SECONDS = 1.5
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
+FIRST_STEP_SECONDS = 0.02
 PEER_TIMEOUT_SECONDS = 1.0
 # Where a version came from, if not from another node.
 STORE = "store"
@@ -49,6 +43,10 @@
     """The platform's store gave no usable answer."""
 
 
+class PositionGoneError(StoreError):
+    """The store no longer has what came after a position."""
+
+
 class PolicyRecord:
     """The newest configuration in the store, and the position after it."""
 
@@ -71,7 +69,8 @@
         """Return what was published since, None if nothing was.
 
         Raises:
-            StoreError: No usable answer, or the position is gone.
+            PositionGoneError: What came since is not there any more.
+            StoreError: No usable answer.
         """
 
     def decode(self, record: bytes) -> Policy:
@@ -88,6 +87,8 @@
     Args:
         store: Where operators publish.
         revoke_seconds: Within which a withdrawn key must stop working.
+        apply_seconds: Within which a configuration must be in force.
+        first_start: Whether the whole fleet starts for the first time.
         journal: Where changes are told.
         tell_news: Tells the other nodes at once that the store had a newer version.
     """
@@ -96,11 +97,14 @@
         self,
         store: PolicyStore,
         revoke_seconds: float,
+        apply_seconds: float,
+        first_start: bool,
         journal: Journal,
         tell_news: Callable[[], None],
     ):
         self._store = store
         self._oldest = revoke_seconds * USED_AGE
+        self._first_start = first_start
         self._journal = journal
         self._tell_news = tell_news
         self._freshness = Freshness()
@@ -111,9 +115,8 @@
         self._routes = RouteTable([])
         self._fetching = False
         self._lost = False
-        self._rank: int | None = None
-        self._reads = asyncio.Event()
-        self._read_age = self._draw_read_age()
+        self._schedule = ReadSchedule(apply_seconds, random.Random())
+        self._follows = asyncio.Event()
 
     @property
     def policy(self) -> Policy | None:
@@ -155,16 +158,20 @@
         """Whether keys may be used, by what is known of withdrawals."""
         return self._freshness.age < self._oldest
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether those who are usually asked do not tell often enough."""
+        return self._freshness.age > self._schedule.overdue_age
+
     async def follow(self) -> None:
         """Wait in the store for news, without end.
 
-        Only the nodes whom others ask wait there: if all did, each version would cost
-        the store a call for each of them.
+        Only the first readers wait there: if all nodes did, each version would cost the
+        store a call for each of them.
         """
         delay = FIRST_RETRY_SECONDS
         while True:
-            if self._next_offset is not None and self._policy is not None:
-                await self._reads.wait()
+            await self._follows.wait()
             try:
                 await self._follow_once()
                 self._note_store(lost=False)
@@ -176,36 +183,63 @@
 
     async def confirm(self) -> None:
         """Ask the store whether there is news when nobody else has lately."""
+        await self._wait_for_first()
+        schedule = self._schedule
         while True:
-            # What is known grows old by a second a second at the most.
-            due = min(self._read_age - self.age, LONE_READ_AGE_SECONDS)
-            await asyncio.sleep(max(CHECK_SECONDS, due))
-            if self.age < self._read_age or self._next_offset is None:
-                continue
-            self._read_age = self._draw_read_age()
-            asked_at = self._freshness.now
+            if self._policy is not None:
+                # What is known grows old by a second a second at the most.
+                due = min(schedule.age - self.age, schedule.longest_sleep)
+                await asyncio.sleep(max(CHECK_SECONDS, due))
+                if self.age < schedule.age:
+                    continue
             try:
-                news = await self._store.read_since(
-                    self._next_offset, 0.0, READ_TIMEOUT_SECONDS
-                )
+                await self._check()
             except StoreError as error:
-                # The position may be gone with the store's history.
-                self._next_offset = None
-                self._reads.set()
                 self._note_store(lost=True, error=str(error))
-                continue
-            self._note_store(lost=False)
-            self._take(news, asked_at)
+                await asyncio.sleep(schedule.note_failure())
+            else:
+                self._note_store(lost=False)
+                schedule.note_answer()
+                if self._policy is None:
+                    await asyncio.sleep(CHECK_SECONDS)
+
+    async def _wait_for_first(self) -> None:
+        """Give other nodes some time to tell their configuration."""
+        wait = self._schedule.draw_first_wait(self._first_start)
+        while wait > 0 and self._policy is None and not self._follows.is_set():
+            step = min(FIRST_STEP_SECONDS, wait)
+            await asyncio.sleep(step)
+            wait -= step
+
+    async def _check(self) -> None:
+        """Ask the store whether there is news."""
+        asked_at = self._freshness.now
+        if self._next_offset is None:
+            await self._read_newest(asked_at)
+            return
+        news = await self._read_since(0.0, READ_TIMEOUT_SECONDS)
+        self._take(news, asked_at)
+
+    async def _read_newest(self, asked_at: float) -> None:
+        newest = await self._store.read_newest(READ_TIMEOUT_SECONDS)
+        self._next_offset = newest.next_offset
+        self._take(newest, asked_at)
+
+    async def _read_since(self, wait: float, timeout: float) -> PolicyRecord | None:
+        assert self._next_offset is not None
+        try:
+            return await self._store.read_since(self._next_offset, wait, timeout)
+        except PositionGoneError:
+            self._next_offset = None
+            raise
 
     def set_rank(self, rank: int | None) -> None:
         """Take in this node's place among those whom others ask; None for none."""
-        if rank != self._rank:
-            self._rank = rank
-            self._read_age = self._draw_read_age()
-        if rank is None and self._next_offset is not None:
-            self._reads.clear()
+        self._schedule.set_rank(rank)
+        if self._schedule.follows:
+            self._follows.set()
         else:
-            self._reads.set()
+            self._follows.clear()
 
     def note_peer_age(self, version: int, age: float, asked_at: float) -> None:
         """Take in how old a peer's knowledge is, in answer to a question sent then."""
@@ -241,20 +275,10 @@
     async def _follow_once(self) -> None:
         asked_at = self._freshness.now
         if self._next_offset is None:
-            newest = await self._store.read_newest(READ_TIMEOUT_SECONDS)
-            self._next_offset = newest.next_offset
-            self._take(newest, asked_at)
+            await self._read_newest(asked_at)
             return
-        try:
-            news = await self._store.read_since(
-                self._next_offset,
-                NEWS_WAIT_SECONDS,
-                NEWS_WAIT_SECONDS + NEWS_GRACE_SECONDS,
-            )
-        except StoreError:
-            # The position may be gone with the store's history: start anew.
-            self._next_offset = None
-            raise
+        timeout = NEWS_WAIT_SECONDS + NEWS_GRACE_SECONDS
+        news = await self._read_since(NEWS_WAIT_SECONDS, timeout)
         if news is not None:
             self._take(news, asked_at)
 
@@ -299,8 +323,3 @@
                 self._journal.emit(LOG_LOST, error=error)
             else:
                 self._journal.emit(LOG_BACK)
-
-    def _draw_read_age(self) -> float:
-        if self._rank is not None:
-            return READ_AGE_SECONDS + self._rank * READ_STEP_SECONDS
-        return LONE_READ_AGE_SECONDS + random.random() * READ_SPREAD_SECONDS
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -105,6 +105,7 @@
         "first_start": True,
         "grace": 2.0,
         "revoke": 5.0,
+        "config_apply": 2.0,
         "retry_ratio": 0.2,
         "retry_fixed": 50,
         "retry_window": 10.0,
