Keep the nodes of each zone in order instead of searching them

The index of services was built anew with each of 194 nodes that a starting node learns of.

Change: FleetIndex holds services and zones, in the order of names, and is built when it is next used after a node has come or gone. The first nodes of a zone that are reachable are found without looking at the rest.

--- a/primroseglade/emulator/rates.py
+++ b/primroseglade/emulator/rates.py
@@ -12,10 +12,9 @@
 from ..sidecar.rate_control import RENEW_SECONDS
 from ..sidecar.share_leases import (
     assign_holder,
-    HOLDERS_OF_ONE_ZONE,
+    count_zone_holders,
     LEASE_SECONDS,
     LeaseBook,
-    list_zone_holders,
     RemoteClock,
     ShareLender,
 )
@@ -233,15 +232,12 @@
         if cached is not None and now - cached[0] < VIEW_SECONDS:
             return cached[1]
         zones = self.network.zones
-        found: dict[int, list[str]] = {}
+        most = count_zone_holders(len(set(zones)))
+        holders: dict[int, list[str]] = {}
         for other, zone in enumerate(zones):
-            names = found.setdefault(zone, [])
-            if len(names) < HOLDERS_OF_ONE_ZONE:
-                if self.network.is_connected(number, other):
-                    names.append(str(other))
-        holders = {
-            zone: list_zone_holders(names, len(found)) for zone, names in found.items()
-        }
+            names = holders.setdefault(zone, [])
+            if len(names) < most and self.network.is_connected(number, other):
+                names.append(str(other))
         assigned = assign_holder(str(number), holders[zones[number]])
         view = (assigned, [name for names in holders.values() for name in names])
         self._views[number] = (now, view)
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -7,6 +7,7 @@
 from ..supervisor import Supervisor
 from .admission import Load
 from .choice import Candidate, choose, estimate_trouble
+from .fleet_index import FleetIndex, Places
 from .model import NodeEntry
 from .peer import Host, Peer
 from .zone_costs import Costs
@@ -17,19 +18,6 @@
 FAR_SAMPLE = 3
 
 
-class Places:
-    """The nodes of one service, in this node's zone and in others."""
-
-    __slots__ = ("far", "near")
-
-    def __init__(self) -> None:
-        self.near: list[Peer] = []
-        self.far: list[Peer] = []
-
-
-NOWHERE = Places()
-
-
 class Survey:
     """What other nodes tell of load, by service.
 
@@ -95,7 +83,7 @@
         self._journal = journal
         self._rng = rng
         self._peers: dict[str, Peer] = {}
-        self._places: dict[str, Places] = {}
+        self._index: FleetIndex | None = None
 
     def __iter__(self) -> Iterator[Peer]:
         return iter(list(self._peers.values()))
@@ -109,6 +97,13 @@
         """This node's availability zone."""
         return self._host.entry.zone
 
+    @property
+    def index(self) -> FleetIndex:
+        """The nodes by service and by availability zone."""
+        if self._index is None:
+            self._index = FleetIndex(self._host.entry, self._peers.values())
+        return self._index
+
     def get(self, name: str) -> Peer | None:
         """Return a node by its name."""
         return self._peers.get(name)
@@ -121,11 +116,11 @@
         if known is not None:
             if entry.started > known.entry.started:
                 known.entry = entry
-                self._index()
+                self._index = None
             return
         peer = Peer(entry, self._host, self._journal)
         self._peers[entry.name] = peer
-        self._index()
+        self._index = None
         self._journal.emit(PEER_LEARNT, peer=entry.name, address=entry.address)
         self._supervisor.start(f"peer {entry.name}", lambda: self._run(peer))
 
@@ -145,25 +140,8 @@
         One in each availability zone, by name among those that can be reached: all
         nodes that see each other name the same ones, without a word.
         """
-        readers = {self._host.entry.zone: self._host.entry.name}
-        for peer in self.list_connected():
-            name = readers.get(peer.entry.zone)
-            if name is None or peer.entry.name < name:
-                readers[peer.entry.zone] = peer.entry.name
-        return sorted(readers.values())
-
-    def list_by_zone(self, connected: bool = True) -> dict[str, list[str]]:
-        """Return the names of the nodes of each zone, this one too.
-
-        Args:
-            connected: Whether only nodes are meant to which a stream is open.
-        """
-        own = self._host.entry
-        zones = {own.zone: [own.name]}
-        for peer in self._peers.values():
-            if peer.connected or not connected:
-                zones.setdefault(peer.entry.zone, []).append(peer.entry.name)
-        return zones
+        first = self.index.list_first(1)
+        return sorted(names[0] for names in first.values())
 
     def list_connected(self) -> list[Peer]:
         """Return the nodes to which a stream is open."""
@@ -188,7 +166,7 @@
             failure_ms: What a failed call costs.
             below: What the calls below it cost, by zone.
         """
-        places = self._places.get(service, NOWHERE)
+        places = self.index.get_places(service)
         near = self._sample(places.near, NEAR_SAMPLE, tried, below)
         if own is not None and own.name not in tried:
             near.append(own)
@@ -238,7 +216,7 @@
 
     def get_failing(self, service: str) -> float:
         """Return the share of calls that fail at a service, over its nodes."""
-        places = self._places.get(service, NOWHERE)
+        places = self.index.get_places(service)
         told = [
             peer.state.failing
             for peer in places.near + places.far
@@ -254,15 +232,8 @@
                 survey.add(peer)
         return survey
 
-    def _index(self) -> None:
-        self._places = {}
-        for peer in self._peers.values():
-            places = self._places.setdefault(peer.entry.service, Places())
-            near = peer.entry.zone == self.zone
-            (places.near if near else places.far).append(peer)
-
     async def _run(self, peer: Peer) -> None:
         await peer.run()
         self._peers.pop(peer.entry.name, None)
-        self._index()
+        self._index = None
         self._journal.emit(PEER_FORGOTTEN, peer=peer.entry.name)
--- a/primroseglade/sidecar/rate_control.py
+++ b/primroseglade/sidecar/rate_control.py
@@ -14,9 +14,9 @@
 from .rate_watch import RateWatch
 from .share_leases import (
     assign_holder,
+    count_zone_holders,
     LEASE_SECONDS,
     LeaseBook,
-    list_zone_holders,
     ShareLender,
 )
 from .token_broker import GrantHandler, TokenBroker
@@ -106,7 +106,7 @@
             return
         if not self._lender.is_due(holder, now, RENEW_SECONDS):
             return
-        if now < self._settled_at and holder != self._assign(connected=False):
+        if now < self._settled_at and holder != self._find_expected():
             return
         if holder == self._entry.name:
             self._leases.renew(holder, now + LEASE_SECONDS, now)
@@ -135,17 +135,17 @@
             self._leases.revoke(entry.name, time.monotonic())
 
     def _find_holders(self) -> None:
-        zones = self._fleet.list_by_zone()
-        known = len(self._fleet.list_by_zone(connected=False))
-        self._holders = [
-            name for names in zones.values() for name in list_zone_holders(names, known)
-        ]
-        self._assigned = self._assign()
-
-    def _assign(self, connected: bool = True) -> str:
-        zones = self._fleet.list_by_zone(connected)
-        known = len(self._fleet.list_by_zone(connected=False))
-        holders = list_zone_holders(zones[self._entry.zone], known)
+        zones = self._list_holders()
+        self._holders = [name for names in zones.values() for name in names]
+        self._assigned = assign_holder(self._entry.name, zones[self._entry.zone])
+
+    def _list_holders(self, connected: bool = True) -> dict[str, list[str]]:
+        index = self._fleet.index
+        return index.list_first(count_zone_holders(index.zones), connected)
+
+    def _find_expected(self) -> str:
+        """Return the holder assigned to this node if all known nodes are reachable."""
+        holders = self._list_holders(connected=False)[self._entry.zone]
         return assign_holder(self._entry.name, holders)
 
     def _is_reachable(self, name: str) -> bool:
--- a/primroseglade/sidecar/share_leases.py
+++ b/primroseglade/sidecar/share_leases.py
@@ -19,19 +19,13 @@
 HOLDERS_OF_ONE_ZONE = 2
 
 
-def list_zone_holders(names: Iterable[str], zones: int) -> list[str]:
-    """Return the token holders among the nodes of a zone.
+def count_zone_holders(zones: int) -> int:
+    """Return the number of token holders in each zone, its first nodes by name.
 
     Args:
-        names: Of the nodes that can be reached.
-        zones: How many the fleet has.
-
-    >>> list_zone_holders({"c", "a", "b"}, zones=3)
-    ['a']
-    >>> list_zone_holders({"c", "a", "b"}, zones=1)
-    ['a', 'b']
+        zones: Number of the fleet's availability zones.
     """
-    return sorted(names)[: HOLDERS_OF_ONE_ZONE if zones == 1 else 1]
+    return HOLDERS_OF_ONE_ZONE if zones == 1 else 1
 
 
 def assign_holder(node: str, holders: Iterable[str]) -> str:
