Keep no packers for streams between zones that carry little

Cause: each end of each stream to a node of another zone kept a packer and an unpacker, some 32 KB an end: at 195 nodes in six zones 162 nodes times two streams, 10 MB of a node's 30 at the peak (19 MB among 30 nodes). Nearly all of these streams carry pings only.

Change: a stream is packed from the ninth frame on that gets much smaller by it (calls, answers, states). Frames tell by themselves whether they are packed, so both ends agree.

The test fails without: a packer was made with the stream.

--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -320,7 +320,7 @@
             )
         self._stream = stream
         if self.entry.zone != self._host.entry.zone:
-            stream.pack(self._host.crossed)
+            stream.cross_zones(self._host.crossed)
         stream.send(Hello(self._host.entry))
         self.ask_policy_age()
 
--- a/primroseglade/sidecar/peer_server.py
+++ b/primroseglade/sidecar/peer_server.py
@@ -128,7 +128,7 @@
         for stream, entry in self._greeted.items():
             if not wanted(entry):
                 continue
-            if stream.packing:
+            if stream.crosses_zones:
                 stream.send(frame)
             else:
                 stream.send_encoded(data)
@@ -163,7 +163,7 @@
             self._answer_ping(stream, frame)
         elif isinstance(frame, Hello):
             if frame.entry.zone != self._host.entry.zone:
-                stream.pack(self._host.crossed)
+                stream.cross_zones(self._host.crossed)
             state = self._host.build_state()
             stream.send(Hello(self._host.entry, state, self._host.drains))
             self._greeted[stream] = frame.entry
--- a/primroseglade/sidecar/streams.py
+++ b/primroseglade/sidecar/streams.py
@@ -5,7 +5,17 @@
 from collections.abc import Callable
 
 from ..sockets import set_dead_peer_options
-from .frames import encode_frame, Frame, FrameError, FrameReader, pack_frame
+from .frames import (
+    Call,
+    CallAnswer,
+    encode_frame,
+    Frame,
+    FrameError,
+    FrameReader,
+    pack_frame,
+    State,
+    States,
+)
 from .http_client import KEEP_ALIVE_IDLE_SECONDS, UNACKNOWLEDGED_MS
 from .packing import Packer
 from .zone_bytes import ZoneBytes
@@ -13,6 +23,10 @@
 # Bytes that may wait unsent on a stream; a peer that does not read for as long as
 # they fill is cut off, so that it cannot take this process's memory.
 UNSENT_BYTES = 32 * 1024 * 1024
+# Both ends of a packed stream keep memory for it, which is most of what a peer takes.
+# Most streams of a large fleet carry hardly any of the frames that get much smaller.
+MAX_PLAIN_FRAMES = 8
+PACKED_FRAMES = (Call, CallAnswer, State, States)
 
 
 class FrameStream(asyncio.Protocol):
@@ -31,6 +45,7 @@
         "_crossed",
         "_lost",
         "_packer",
+        "_plain_frames",
         "_reader",
         "_receive",
         "_transport",
@@ -48,6 +63,7 @@
         self._transport: asyncio.Transport | None = None
         self._broken = ""
         self._packer: Packer | None = None
+        self._plain_frames = 0
         self._crossed: ZoneBytes | None = None
         self.heard_at = time.monotonic()
 
@@ -84,13 +100,12 @@
             self._receive(self, frame)
 
     @property
-    def packing(self) -> bool:
-        """Whether frames are packed on this stream."""
-        return self._packer is not None
+    def crosses_zones(self) -> bool:
+        """Whether the other end is in another availability zone."""
+        return self._crossed is not None
 
-    def pack(self, crossed: ZoneBytes) -> None:
-        """Pack and count what is sent from now on: the other end is in another zone."""
-        self._packer = Packer()
+    def cross_zones(self, crossed: ZoneBytes) -> None:
+        """Count what is sent from now on, and pack it if it is worth while."""
         self._crossed = crossed
 
     def send(self, frame: Frame, route: str = "") -> None:
@@ -100,14 +115,22 @@
             frame: To send.
             route: That it belongs to, as it is counted.
         """
-        if self._packer is None:
+        if self._crossed is None:
             self.send_encoded(encode_frame(frame))
             return
-        data = pack_frame(frame, self._packer)
-        if self._crossed is not None:
-            self._crossed.note(type(frame).__name__, route, len(data))
+        packer = self._get_packer(frame)
+        data = encode_frame(frame) if packer is None else pack_frame(frame, packer)
+        self._crossed.note(type(frame).__name__, route, len(data))
         self.send_encoded(data)
 
+    def _get_packer(self, frame: Frame) -> Packer | None:
+        """Return the packer, once there is enough to pack on this stream."""
+        if self._packer is None and isinstance(frame, PACKED_FRAMES):
+            self._plain_frames += 1
+            if self._plain_frames > MAX_PLAIN_FRAMES:
+                self._packer = Packer()
+        return self._packer
+
     def send_encoded(self, data: bytes) -> None:
         """Send a frame that is encoded already, as for many streams at once."""
         if self._transport is None:
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -16,10 +16,13 @@
     LENGTH,
     pack_frame,
     PACKED,
+    Ping,
     State,
 )
 from primroseglade.sidecar.model import NodeState
 from primroseglade.sidecar.packing import Packer
+from primroseglade.sidecar.streams import FrameStream
+from primroseglade.sidecar.zone_bytes import ZoneBytes
 
 
 def build_call(number: int, body: bytes = b"") -> Call:
@@ -110,3 +113,37 @@
     payload = packer.pack(frame + bytes(64 * 1024 * 1024))
     with pytest.raises(FrameError):
         FrameReader().feed(LENGTH.pack(len(payload) | PACKED) + payload)
+
+
+class FakeTransport:
+    """Collects what is written."""
+
+    def __init__(self) -> None:
+        self.written = b""
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+
+def test_streams_that_carry_little_keep_no_memory_for_packing():
+    """Guards against two packers for each node of other zones: at 195 nodes they were a
+    third of a node's memory, and nearly all of these streams carried only pings.
+    """
+    stream = FrameStream(lambda *_: None, lambda *_: None)
+    transport = FakeTransport()
+    stream._transport = transport
+    stream.cross_zones(ZoneBytes())
+    for number in range(1000):
+        stream.send(Ping(number))
+    assert stream._packer is None
+    calls = [build_call(number) for number in range(100)]
+    for call in calls:
+        stream.send(call)
+    assert stream._packer is not None
+    frames = FrameReader().feed(transport.written)
+    assert frames[1000:] == calls
+    plain = sum(len(encode_frame(call)) for call in calls)
+    assert len(transport.written) < 1000 * 10 + plain / 2
