Reckon the end of a lease from after it was sent

Found by reading: the lender noted a lease as of the start of its periodic duties, the holder's lease began when the message was written. On a starved machine these are tens of milliseconds apart, for which two holders could have had one node's share.

--- a/primroseglade/sidecar/rate_control.py
+++ b/primroseglade/sidecar/rate_control.py
@@ -116,7 +116,8 @@
             return
         peer = self._fleet.get(holder)
         if peer is not None and peer.lend_share(LEASE_SECONDS):
-            self._lender.note_lent(holder, now)
+            # Not before it was sent: it must have ended when the next one begins.
+            self._lender.note_lent(holder, time.monotonic())
 
     def note_lease(self, lender: NodeEntry, lease_ms: int) -> None:
         """Take in that a node lends its share.
