Split the emulator's plays from its fleet; one name for one constant

No change of behaviour: Play, Demand and what counts calls move to rate_plays.py, and the step of the first wait in policy_keeper.py no longer has the name of another constant.

--- a/bench/fleet_rates.py
+++ b/bench/fleet_rates.py
@@ -6,16 +6,16 @@
 from typing import Any
 
 from primroseglade.emulator.network import Cut
-from primroseglade.emulator.rate_scenarios import build_scenarios, RISE_SECONDS
-from primroseglade.emulator.rates import (
+from primroseglade.emulator.rate_plays import (
     add_callers,
     count_allowed,
     count_ideal,
     Demand,
     LEAD_SECONDS,
     Play,
-    RateFleet,
 )
+from primroseglade.emulator.rate_scenarios import build_scenarios, RISE_SECONDS
+from primroseglade.emulator.rates import RateFleet
 from primroseglade.sidecar.model import Tenant
 
 from .registry import bench
--- a/primroseglade/emulator/rates.py
+++ b/primroseglade/emulator/rates.py
@@ -1,6 +1,5 @@
 """Rates of workspaces over a fleet, with the modules that the nodes use for them."""
 
-import bisect
 import math
 import random
 from collections.abc import Callable, Sequence
@@ -25,12 +24,11 @@
 from .network import Cut, Network
 from .simulation import Simulation
 
-# Nodes exist for this long before the first call, unless they were just restarted.
-LEAD_SECONDS = 5.0
 # A node that was just started lends its share within this time.
 START_SECONDS = 0.1
 # A node looks anew after this time whom it reaches.
 VIEW_SECONDS = 0.25
+# What operators tolerate.
 WINDOW_SECONDS = 5.0
 OVERSHOOT = 0.1
 SLACK = 20
@@ -244,159 +242,3 @@
         view = (assigned, [name for names in holders.values() for name in names])
         self._views[number] = (now, view)
         return view
-
-
-class Play:
-    """What became of the calls of a workspace.
-
-    Attributes:
-        arrivals: Times of all calls.
-        admitted: Times at which calls were let through.
-        waits_of_admitted: Seconds that each call let through waited for a token.
-    """
-
-    __slots__ = ("admitted", "arrivals", "waits_of_admitted")
-
-    def __init__(self) -> None:
-        self.arrivals: list[float] = []
-        self.admitted: list[float] = []
-        self.waits_of_admitted: list[float] = []
-
-    def find_worst_window(self) -> int:
-        """Return the most calls let through in any window."""
-        return max(
-            (
-                bisect.bisect_right(self.admitted, start + WINDOW_SECONDS) - number
-                for number, start in enumerate(self.admitted)
-            ),
-            default=0,
-        )
-
-
-def count_allowed(rate: float, burst: float) -> float:
-    """Return the calls that operators tolerate in any window."""
-    return (rate * WINDOW_SECONDS + burst) * (1.0 + OVERSHOOT) + SLACK
-
-
-def count_ideal(arrivals: Sequence[float], rate: float, burst: float) -> int:
-    """Return the calls that one exact token bucket would let through.
-
-    >>> count_ideal([0.0, 0.0, 0.0, 1.0], rate=1.0, burst=2.0)
-    3
-    """
-    tokens = burst
-    before = 0.0
-    admitted = 0
-    for arrival in arrivals:
-        tokens = min(burst, tokens + rate * (arrival - before))
-        before = arrival
-        if tokens >= 1.0:
-            tokens -= 1.0
-            admitted += 1
-    return admitted
-
-
-class Demand:
-    """Calls a second of a workspace, as a multiple of its rate, over time.
-
-    Args:
-        times: Before the rise.
-        rise: Time of the rise and the multiple after it; None if there is none.
-    """
-
-    __slots__ = ("rise", "times")
-
-    def __init__(self, times: float, rise: tuple[float, float] | None = None):
-        self.times = times
-        self.rise = rise
-
-    def get(self, now: float) -> float:
-        """Return the multiple at a time."""
-        if self.rise is not None and now >= self.rise[0]:
-            return self.rise[1]
-        return self.times
-
-    @property
-    def most(self) -> float:
-        """The largest multiple."""
-        return max(self.times, self.rise[1] if self.rise is not None else 0.0)
-
-
-def add_callers(
-    fleet: RateFleet,
-    tenant: Tenant,
-    demand: Demand,
-    start: float,
-    end: float,
-    nodes: Sequence[int],
-) -> Play:
-    """Have calls of a workspace come to some nodes, at random times.
-
-    Args:
-        fleet: Of the nodes.
-        tenant: The workspace.
-        demand: By its rate; times from the start.
-        start: Of the calls.
-        end: Of the calls.
-        nodes: Numbers of the nodes; some get more calls than others.
-    """
-    # Of its own, so that all designs and settings are played with the same calls.
-    rng = random.Random(f"{fleet.seed} {tenant.name}")
-    play = Play()
-    weights = [rng.uniform(0.5, 2.0) for _ in nodes]
-    total = demand.most * tenant.rate
-
-    def arrive() -> None:
-        now = fleet.simulation.now
-        fleet.simulation.schedule(now + rng.expovariate(total), arrive)
-        if now >= end or rng.random() >= demand.get(now - start) / demand.most:
-            return
-        play.arrivals.append(now - start)
-        number = rng.choices(nodes, cum_weights=cumulated)[0]
-
-        def note(granted: bool) -> None:
-            if granted:
-                play.waits_of_admitted.append(fleet.simulation.now - now)
-                play.admitted.append(fleet.simulation.now - start)
-
-        fleet.call(number, tenant, note)
-
-    cumulated = [sum(weights[: index + 1]) for index in range(len(weights))]
-    fleet.simulation.schedule(start + rng.expovariate(total), arrive)
-    return play
-
-
-def play_workspace(
-    nodes: int,
-    rate: float,
-    demand: Demand,
-    seconds: float,
-    seed: int,
-    first_start: bool = True,
-    zones: int = 6,
-    cuts: Sequence[Cut] = (),
-    disturb: Callable[[RateFleet], None] = lambda fleet: None,
-) -> Play:
-    """Play one workspace whose burst is a second of its rate.
-
-    Args:
-        nodes: How many there are.
-        rate: Of the workspace.
-        demand: Of its callers.
-        seconds: For which calls come.
-        seed: Of all that is drawn.
-        first_start: Whether the fleet starts for the first time; otherwise all of it
-            was just restarted when the first call comes.
-        zones: Availability zones among which the nodes are divided.
-        cuts: Network partitions; times from the first call.
-        disturb: Schedules other disturbances; times with `LEAD_SECONDS` before the
-            first call, if the fleet starts for the first time.
-    """
-    lead = LEAD_SECONDS if first_start else 0.0
-    shifted = [Cut(cut.start + lead, cut.end + lead, cut.sides) for cut in cuts]
-    fleet = RateFleet([n % zones for n in range(nodes)], seed, shifted, first_start)
-    disturb(fleet)
-    tenant = Tenant("north", 1, rate, rate)
-    play = add_callers(fleet, tenant, demand, lead, lead + seconds, range(nodes))
-    fleet.simulation.run(lead + seconds)
-    return play
--- a/primroseglade/sidecar/policy_keeper.py
+++ b/primroseglade/sidecar/policy_keeper.py
@@ -30,7 +30,7 @@
 READ_TIMEOUT_SECONDS = 1.5
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
-FIRST_STEP_SECONDS = 0.02
+FIRST_POLL_SECONDS = 0.02
 PEER_TIMEOUT_SECONDS = 1.0
 # Where a version came from, if not from another node.
 STORE = "store"
@@ -207,7 +207,7 @@
         """Give other nodes some time to tell their configuration."""
         wait = self._schedule.draw_first_wait(self._first_start)
         while wait > 0 and self._policy is None and not self._follows.is_set():
-            step = min(FIRST_STEP_SECONDS, wait)
+            step = min(FIRST_POLL_SECONDS, wait)
             await asyncio.sleep(step)
             wait -= step
 
--- a/tests/test_admission_levels.py
+++ b/tests/test_admission_levels.py
@@ -2,7 +2,11 @@
 
 import random
 
-from primroseglade.emulator.rates import count_allowed, Demand, play_workspace
+from primroseglade.emulator.rate_plays import (
+    count_allowed,
+    Demand,
+    play_workspace,
+)
 from primroseglade.sidecar.admission import Admission, Load
 from primroseglade.sidecar.model import Tenant
 from primroseglade.sidecar.ticker import STEP_SECONDS
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -5,14 +5,7 @@
 import pytest
 
 from primroseglade.emulator.network import Cut
-from primroseglade.emulator.rate_scenarios import (
-    freeze_holders,
-    halve_nodes,
-    halve_zones,
-    kill_all,
-    kill_holders,
-)
-from primroseglade.emulator.rates import (
+from primroseglade.emulator.rate_plays import (
     add_callers,
     count_allowed,
     count_ideal,
@@ -20,9 +13,15 @@
     LEAD_SECONDS,
     Play,
     play_workspace,
-    RateFleet,
-    WINDOW_SECONDS,
 )
+from primroseglade.emulator.rate_scenarios import (
+    freeze_holders,
+    halve_nodes,
+    halve_zones,
+    kill_all,
+    kill_holders,
+)
+from primroseglade.emulator.rates import RateFleet, WINDOW_SECONDS
 from primroseglade.sidecar.model import Tenant
 
 from .rates import OneHolder
--- a/tests/test_share_leases.py
+++ b/tests/test_share_leases.py
@@ -3,12 +3,15 @@
 import pytest
 
 from primroseglade.emulator.network import Cut
+from primroseglade.emulator.rate_plays import (
+    LEAD_SECONDS,
+)
 from primroseglade.emulator.rate_scenarios import (
     halve_nodes,
     halve_zones,
     isolate_nodes,
 )
-from primroseglade.emulator.rates import LEAD_SECONDS, RateFleet
+from primroseglade.emulator.rates import RateFleet
 from primroseglade.sidecar.share_leases import (
     LEASE_SECONDS,
     LeaseBook,
