Have a leave that comes before any report bind

Cause: the node had just been started again and knew no report. The leave named no start of a lifetime and was kept as of time 0; the next report, sent before and late, named its own start, and counted as a new lifetime that is ready.

Change: such a leave holds for the lifetime of the next report with that id within ten seconds, as reports come some seconds late. The test fails without the change and passes with it.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -31,6 +31,8 @@
 # A backend server that is still slow after its start works half as fast, as its
 # operators say; it is told to others as having fewer slots.
 COLD_SHARE = 0.5
+# Reports may come some seconds late, also after the backend server was told to leave.
+LATE_REPORT_SECONDS = 10.0
 
 
 class BackendAnswer:
@@ -108,6 +110,8 @@
         self._tell_state = tell_state
         self._report: StatusReport | None = None
         self._left: dict[str, int] = {}
+        # Until when a leave that named no lifetime holds for the next report.
+        self._unnamed_until: dict[str, float] = {}
         # Start of the newest lifetime that left here. Peers tell of backend servers
         # that left elsewhere too, which say nothing of the one here.
         self._newest_left = 0
@@ -207,7 +211,7 @@
         self._report = report
         if another:
             self._start_lifetime(report)
-        if self._left.get(report.instance) == report.born:
+        if self._has_left(report):
             self._leaving = True
         elif report.state is BackendState.DRAINING:
             self.leave(report.instance, report.born)
@@ -218,6 +222,16 @@
             self._gone = False
         return True
 
+    def _has_left(self, report: StatusReport) -> bool:
+        """Whether a report is of a lifetime that was told to leave."""
+        if report.instance not in self._left:
+            return False
+        if time.monotonic() < self._unnamed_until.get(report.instance, 0.0):
+            # The leave named no lifetime, and came before any report of it.
+            self._left[report.instance] = report.born
+            del self._unnamed_until[report.instance]
+        return self._left[report.instance] == report.born
+
     def leave(self, instance: str, born: int) -> None:
         """Send nothing more to a backend server that leaves.
 
@@ -233,6 +247,8 @@
                 self._leaving = True
             self._newest_left = max(self._newest_left, born)
         self._left[instance] = born
+        if not born:
+            self._unnamed_until[instance] = time.monotonic() + LATE_REPORT_SECONDS
 
     async def serve(self, call: Call, remaining: float) -> Served:
         """Run a call on the backend server.
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -44,6 +44,21 @@
     assert leaving.node.backend.instance == ""
 
 
+async def test_a_leave_before_any_report_binds(mesh: Mesh):
+    """Guards against calls to a backend server that was told to leave just after its
+    node was started again: the leave names no start of a lifetime, and a report that
+    says it is ready comes late.
+    """
+    leaving = mesh.places[1]
+    await leaving.kill_node()
+    leaving.start_node_again(first_start=False)
+    leaving.node.backend.leave(leaving.backend.instance, 0)
+    async with asyncio.timeout(5.0):
+        while await leaving.backend.report() != 200:
+            await asyncio.sleep(0.02)
+    assert leaving.node.backend.instance == ""
+
+
 async def test_a_report_of_an_earlier_lifetime_changes_nothing(mesh: Mesh):
     """A backend server was taken out of use seconds after its start: its earlier
     lifetime's last report, that it drains, had been held up by a cut.
