Play the test of a queued call's refusal in virtual time

Change: the same steps and the same bound on a loop whose clock jumps to the next timer, so that no load of the machine counts (tests/virtual_time.py). With the queue changed to refuse at the deadline itself the test fails; as it is, it passes.

--- a/tests/test_backend_queue.py
+++ b/tests/test_backend_queue.py
@@ -7,6 +7,8 @@
 from primroseglade.sidecar.backend_queue import BackendQueue
 from primroseglade.verdicts import Refusal, Verdict
 
+from .virtual_time import run_in_virtual_time
+
 
 async def take_all_slots(queue: BackendQueue) -> list[int]:
     """Take and return all slots of a queue, after service times of 0.01 s."""
@@ -19,20 +21,24 @@
     ]
 
 
-async def test_queued_call_is_refused_as_not_run_before_its_deadline():
+def test_queued_call_is_refused_as_not_run_before_its_deadline():
     """Guards against a timeout at the caller's node just before the queue refuses a
     call. The caller would get a 504, which does not say whether the call ran, and could
     not retry. The queue must refuse the call earlier, as not run.
     """
-    queue = BackendQueue(4)
-    await take_all_slots(queue)
-    loop = asyncio.get_running_loop()
-    started = loop.time()
-    with pytest.raises(Refusal) as refused:
-        await queue.acquire(0.1, 0.2, nested=True)
-    assert refused.value.verdict is Verdict.NOT_RUN
-    assert loop.time() - started < 0.2
-    assert queue.in_flight == queue.concurrency_limit
+
+    async def run() -> None:
+        queue = BackendQueue(4)
+        await take_all_slots(queue)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        with pytest.raises(Refusal) as refused:
+            await queue.acquire(0.1, 0.2, nested=True)
+        assert refused.value.verdict is Verdict.NOT_RUN
+        assert loop.time() - started < 0.2
+        assert queue.in_flight == queue.concurrency_limit
+
+    run_in_virtual_time(run())
 
 
 async def test_call_with_a_short_latency_target_goes_first():
