Ping a peer again that fell silent after a frame that answers no ping

Cause: a ping is sent, then a state of the peer arrives that was on its way, then nothing more: the ping is not answered, but something was received after it. Such a ping counted neither as answered nor as ignored, and no other was sent for a second; the stream was closed after two.

--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -331,8 +331,8 @@
         stream = self._stream
         if stream is None:
             return
-        if self._unanswered_ping_id and now - self._ping_sent_at > PING_TIMEOUT_SECONDS:
-            if stream.last_received_at < self._ping_sent_at:
+        if self._unanswered_ping_id and stream.last_received_at < self._ping_sent_at:
+            if now - self._ping_sent_at > PING_TIMEOUT_SECONDS:
                 self._disconnect("silent")
         elif self._pending_replies:
             if (
@@ -342,15 +342,18 @@
                 self.send_ping()
 
     def _may_ping_again(self, now: float) -> bool:
-        """Return whether the last ping timed out although other frames arrived since.
+        """Return whether to give up the last ping, although frames arrived after it.
 
-        While nothing arrives, another ping would restart the timeout of the first.
+        Its answer may be lost if the stream fell silent after those frames. While
+        nothing arrives, another ping would restart the timeout of the first.
         """
         stream = self._stream
-        has_received_since = (
-            stream is not None and stream.last_received_at >= self._ping_sent_at
+        if stream is None or stream.last_received_at < self._ping_sent_at:
+            return False
+        return (
+            now - stream.last_received_at > IDLE_BEFORE_PING_SECONDS
+            or now - self._ping_sent_at >= PING_TIMEOUT_SECONDS
         )
-        return has_received_since and now - self._ping_sent_at >= PING_TIMEOUT_SECONDS
 
     def _build_refusal(self, reply: CallRefused) -> Refusal:
         reason = Reason.from_code(reply.reason) or Reason.OVERLOADED
