Limit the calls that start at a cold backend server

What callers saw: after a restart of all backend servers hardly a call was served again.

Cause: the cold time in reports only halved the announced slots, a backend server that restarted under its id or turned cold while it ran was not noticed, and admission took slots for capacity.

Change: warm_up.py keeps how long the backend server is cold and limits the starts in any second to the operator's rate times its overshoot; the further slack is left for calls that a former process of the node started. Calls beyond that wait if they can still be in time, else they are refused as not run (backend-cold). After a restart of the node, a crash or the loss of all connections the backend server is taken for cold until a health check says otherwise. A node takes no calls before it has a configuration, as the rate stands there. All nodes learn the rate and the time left from the state broadcast: load balancing compares what a cold one can take, admission counts that as its capacity, and callers are told to come back when most are warm. Values out of range leave the last valid ones in force (event 232).

--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -124,6 +124,13 @@
     "configuration in force",
     "This version applies from now on; the field `source` says where it came from.",
 )
+VALUE_IGNORED = _define(
+    232,
+    "warning",
+    "invalid value ignored",
+    "The field `reason` names the value and its limits; the last valid value stays in "
+    "force.",
+)
 STORE_WRITE_FAILED = _define(
     231,
     "warning",
@@ -191,6 +198,14 @@
     "A call got no first byte in time, but a new connection was answered. Idle "
     "connections were closed.",
 )
+BACKEND_COLD = _define(
+    326,
+    "info",
+    "backend server cold",
+    "For the time in the field `seconds` only the given number of calls per second "
+    "start there; the others go elsewhere, wait, or are refused as not run. The field "
+    "`assumed` says whether the server is only taken for cold until it says otherwise.",
+)
 PEER_EJECTED = _define(
     330,
     "info",
--- a/primroseglade/platform/dialect.py
+++ b/primroseglade/platform/dialect.py
@@ -4,6 +4,7 @@
 
 from ..sidecar.backend import ParsedAnswerHead
 from ..sidecar.frames import Call
+from ..sidecar.health_check import HealthAnswer
 from ..sidecar.http_client import Response
 from ..sidecar.http_messages import render_status_line, Reply, Request
 from ..sidecar.request_handler import CallerFields
@@ -11,11 +12,13 @@
 from .names import (
     AUTHORIZATION,
     CALLER_SERVICE,
+    COLD_MS,
     CONNECTION,
     DROPPED_FROM_REQUESTS,
     DROPPED_FROM_RESPONSES,
     EXPECTED_INSTANCE,
     HOST,
+    INSTANCE,
     KEY_SCHEME,
     NOT_EXECUTED,
     REMAINING_MS,
@@ -144,6 +147,29 @@
         ]
         return ParsedAnswerHead(b"".join(lines), request_id, signed, not_executed)
 
+    def render_health_check(self, path: str, address: str) -> bytes:
+        """Return a health check; ``address`` is that of the backend server."""
+        return f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
+
+    def read_health(self, answer: Response) -> HealthAnswer | None:
+        """Return what an answer to a health check says, whatever its status.
+
+        A backend server that is full or unhealthy says how long it stays cold, too; a
+        warm one may leave that out. Returns None if it names no instance or an invalid
+        time.
+        """
+        instance = ""
+        cold_seconds: float | None = 0.0
+        for name, value in answer.headers:
+            lower = name.lower()
+            if lower == INSTANCE:
+                instance = value.decode("latin-1")
+            elif lower == COLD_MS:
+                cold_seconds = _parse_ms(value)
+        if not instance or cold_seconds is None:
+            return None
+        return HealthAnswer(instance, cold_seconds)
+
 
 def _split_tokens(value: bytes) -> frozenset[bytes]:
     return frozenset(token.strip().lower() for token in value.split(b","))
--- a/primroseglade/platform/names.py
+++ b/primroseglade/platform/names.py
@@ -16,6 +16,9 @@
 KEY_SCHEME = b"token "
 HOST = b"host"
 CONNECTION = b"connection"
+# In answers to health checks only.
+INSTANCE = b"x-primroseglade-upstream-instance"
+COLD_MS = b"x-primroseglade-cold-ms"
 
 # Bodies are buffered whole, so each hop sets its own Content-Length.
 DROPPED_FROM_RESPONSES = HOP_BY_HOP_HEADERS | {b"content-length"}
--- a/primroseglade/platform/operator_config.py
+++ b/primroseglade/platform/operator_config.py
@@ -10,13 +10,17 @@
     Policy,
     Route,
     RouteKind,
+    ServiceOptions,
     Tenant,
     WeightedService,
 )
+from ..sidecar.warm_up import WarmUpLimits
 from .values import Fields
 
 ERROR_SOURCE = "configuration"
 DEFAULT_TIMEOUT_SECONDS = 10.0
+# Warm-ups that an operator states as longer are taken for an error.
+MAX_WARM_UP_SECONDS = 600.0
 
 
 def decode_policy(record: bytes) -> Policy:
@@ -30,14 +34,54 @@
     except ValueError as error:
         raise InputError(ERROR_SOURCE, "", f"is not JSON: {error}") from error
     fields = Fields(value, ERROR_SOURCE)
+    invalid_services: dict[str, str] = {}
     return Policy(
         fields.get_integer("version"),
         _decode_routes(fields),
         _decode_tenants(fields) if fields.has("tenants") else None,
         _decode_limits(fields),
+        _decode_services(fields, invalid_services),
+        invalid_services,
     )
 
 
+def _decode_services(
+    fields: Fields, invalid_services: dict[str, str]
+) -> dict[str, ServiceOptions]:
+    """Return the options of services by name; leave out services with invalid ones.
+
+    Args:
+        fields: The configuration.
+        invalid_services: Receives the services that were left out, and the reasons.
+    """
+    services = {}
+    for item in fields.get_list("services"):
+        service_fields = Fields(item, f"{ERROR_SOURCE}/services")
+        name = service_fields.get_string("name")
+        try:
+            warm_up = _decode_warm_up(service_fields)
+        except InputError as error:
+            invalid_services[name] = str(error)
+            continue
+        health_path = service_fields.get_string("health_path", "")
+        services[name] = ServiceOptions(name, health_path, warm_up)
+    return services
+
+
+def _decode_warm_up(fields: Fields) -> WarmUpLimits | None:
+    if not fields.has("cold_per_s"):
+        return None
+    calls_per_second = fields.get_number("cold_per_s")
+    if calls_per_second <= 0:
+        detail = f"{calls_per_second:g} is not above 0"
+        raise InputError(ERROR_SOURCE, "cold_per_s", detail)
+    max_seconds = fields.get_seconds("cold_start")
+    if not 0 < max_seconds <= MAX_WARM_UP_SECONDS:
+        detail = f"{max_seconds:g} s is not between 0 and {MAX_WARM_UP_SECONDS:g} s"
+        raise InputError(ERROR_SOURCE, "cold_start", detail)
+    return WarmUpLimits(calls_per_second, max_seconds)
+
+
 def _decode_limits(fields: Fields) -> CallerLimits:
     limits = CallerLimits()
     if not fields.has("limits"):
--- a/primroseglade/platform/settings.py
+++ b/primroseglade/platform/settings.py
@@ -69,5 +69,6 @@
         quota_overshoot=bounds.get_number("quota_overshoot", 0.0),
         quota_slack=bounds.get_number("quota_slack", 0.0),
         quota_window=bounds.get_seconds("quota_window", 5.0),
+        cold_overshoot=bounds.get_number("cold_overshoot", 1.0),
     )
     return PlatformSettings(node, fields.get_object("platform").get_string("address"))
--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -63,7 +63,15 @@
     while the other four are half idle.
     """
 
-    __slots__ = ("_sums", "_sums_without_slot_time", "queued")
+    __slots__ = (
+        "_cold_count",
+        "_cold_rate",
+        "_cold_seconds",
+        "_sums",
+        "_sums_without_slot_time",
+        "_warm_count",
+        "queued",
+    )
 
     def __init__(self) -> None:
         #: Calls that wait for a slot, at all backend servers of the service together.
@@ -73,22 +81,56 @@
         # is known.
         self._sums = [0.0, 0.0]
         self._sums_without_slot_time = [0.0, 0.0]
+        self._warm_count = 0
+        # Of backend servers that are cold: their number, calls per second that may
+        # start there, and the sum of the seconds for which they stay cold.
+        self._cold_count = 0
+        self._cold_rate = 0.0
+        self._cold_seconds = 0.0
 
     @property
     def capacity(self) -> float:
         """Estimated throughput in calls per second; 0 while no slot time is known."""
-        return self._sums[1] * 1000
+        if self._warm_count and not self._sums[1]:
+            return 0.0
+        return self._sums[1] * 1000 + self._cold_rate
+
+    @property
+    def warm_up_seconds(self) -> float:
+        """Seconds until most backend servers are warm; 0 if at least half of them are.
+
+        This is the average of the seconds for which the cold ones stay cold.
+        """
+        if self._cold_count <= self._warm_count:
+            return 0.0
+        return self._cold_seconds / self._cold_count
 
     @property
     def utilization(self) -> float:
-        """Calls in flight, running and queued, per slot."""
+        """Calls in flight, running and queued, per slot.
+
+        If all backend servers are cold this is 1: starts are limited, and not slots.
+        """
+        if self._cold_count and not self._warm_count:
+            return 1.0
         weighted_utilization, total_weight = (
             self._sums if self._sums[1] else self._sums_without_slot_time
         )
         return weighted_utilization / total_weight if total_weight else 0.0
 
+    def add_cold(self, start_rate: float, cold_seconds: float) -> None:
+        """Add a cold backend server.
+
+        Args:
+            start_rate: Calls per second that may start there.
+            cold_seconds: Seconds for which it stays cold.
+        """
+        self._cold_count += 1
+        self._cold_rate += start_rate
+        self._cold_seconds += cold_seconds
+
     def add(self, in_flight: float, slots: float, slot_ms: float) -> None:
-        """Add a backend server.
+        """Add a backend server at which starts are not limited.
 
         Args:
             in_flight: Running and queued calls.
@@ -96,6 +138,7 @@
             slot_ms: Average milliseconds for which a call holds a slot; 0 before the
                 first call.
         """
+        self._warm_count += 1
         self.queued += max(0.0, in_flight - slots)
         sums = self._sums if slot_ms else self._sums_without_slot_time
         sums[0] += in_flight / (slot_ms or 1.0)
@@ -123,6 +166,8 @@
         self._admission_levels: dict[str, float] = {}
         # For each overloaded service, the admitted fraction of each rank.
         self._admitted_fractions: dict[str, dict[int, float]] = {}
+        # When most backend servers of a service will be warm, if few are now.
+        self._warm_at: dict[str, float] = {}
 
     @property
     def admission_levels(self) -> dict[str, float]:
@@ -167,6 +212,11 @@
             demand: Calls per second that requests at all nodes cause, by service.
             now: Seconds on the loop's clock.
         """
+        self._warm_at = {
+            service: now + load.warm_up_seconds
+            for service, load in loads.items()
+            if load.warm_up_seconds
+        }
         for service, load in loads.items():
             level = self._compute_level(service, load, demand.get(service, 0.0))
             if level >= 1.0:
@@ -178,6 +228,24 @@
             for service, level in self._admission_levels.items()
         }
 
+    def get_warm_up_seconds(
+        self, expected_calls: Mapping[str, float], now: float
+    ) -> float:
+        """Return how long the services that a request needs still warm up, 0 if none.
+
+        Args:
+            expected_calls: Calls to each service that the request is expected to cause.
+            now: Seconds on the loop's clock.
+        """
+        return max(
+            (
+                self._warm_at[service] - now
+                for service in expected_calls
+                if service in self._warm_at
+            ),
+            default=0.0,
+        )
+
     def _compute_level(self, service: str, load: ServiceLoad, demand: float) -> float:
         """Update the correction factor and return the admission level of a service."""
         correction_factor = self._correction_factors.get(service, 1.0)
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -7,18 +7,22 @@
 
 from ..observe.events import (
     BACKEND_ANNOUNCED,
+    BACKEND_COLD,
     BACKEND_DRAINING,
     BACKEND_REPORT_REFUSED,
     BACKEND_UNAVAILABLE,
     Journal,
+    VALUE_IGNORED,
 )
 from ..verdicts import may_have_run, not_run, Reason, Refusal
 from .backend_queue import BackendQueue
 from .call_ratios import CallRatioEstimator
 from .frames import Call
+from .health_check import HealthAnswer
 from .http_client import ConnectionPool, ExchangeError, Response
 from .load_balancing import Candidate
 from .model import BackendState, StatusReport
+from .warm_up import WarmUp
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 # A call with less time until its deadline is not sent: its answer would be too late.
@@ -30,8 +34,8 @@
 # given to another call earlier (`MAX_SLOT_SERVICE_TIMES`).
 UNANSWERED_SERVICE_TIMES = 4.0
 # Fraction of the concurrency limit that is announced to other nodes while the backend
-# server is cold. According to operators, it works at half its speed until it has warmed
-# up.
+# server is cold and starts are not limited. According to operators, it works at half
+# its speed until it has warmed up.
 COLD_CAPACITY_RATIO = 0.5
 # Maximum delay of a status report. The first report of a backend server may arrive this
 # long after a request to drain it.
@@ -100,8 +104,11 @@
         address: Address of the backend server, as configured by the platform.
         dialect: Builds requests and parses answers.
         call_ratios: Counts the calls that the backend server runs, by route.
+        warm_up: Tracks whether the backend server is cold.
         journal: Logs changes of state.
         broadcast_state: Announces the state of this node to the others at once.
+        request_health_check: Starts health checks, to learn whether the backend server
+            is cold.
     """
 
     def __init__(
@@ -110,8 +117,10 @@
         address: str,
         dialect: BackendDialect,
         call_ratios: CallRatioEstimator,
+        warm_up: WarmUp,
         journal: Journal,
         broadcast_state: Callable[[], None],
+        request_health_check: Callable[[], None],
     ):
         self._service = service
         self._address = address
@@ -119,6 +128,7 @@
         self._call_ratios = call_ratios
         self._journal = journal
         self._broadcast_state = broadcast_state
+        self._request_health_check = request_health_check
         self._report: StatusReport | None = None
         # Start time in ms of the drained incarnation, by instance ID; 0 until a drain
         # request or a report names it.
@@ -132,10 +142,11 @@
         self._draining = True
         self._unavailable = False
         self._node_stopping = False
-        self._cold_until = 0.0
+        self._enabled = False
         self._failure_ratio = 0.0
-        self._pool = ConnectionPool(address, CONNECT_TIMEOUT_SECONDS)
-        self.queue = BackendQueue(1)
+        self.pool = ConnectionPool(address, CONNECT_TIMEOUT_SECONDS, self.assume_cold)
+        self.warm_up = warm_up
+        self.queue = BackendQueue(1, warm_up)
 
     @property
     def service(self) -> str:
@@ -147,6 +158,7 @@
         """Instance ID of the backend server; empty while it accepts no calls."""
         if (
             self._report is None
+            or not self._enabled
             or self._draining
             or self._unavailable
             or self._node_stopping
@@ -159,9 +171,9 @@
         """Slots to announce to other nodes: the queue's concurrency limit.
 
         The limit is a fraction of the backend server's own slots. Only a part of it is
-        announced while the backend server is cold.
+        announced while the backend server is cold, unless starts are limited then.
         """
-        if time.monotonic() < self._cold_until:
+        if self.warm_up.remaining_seconds > 0 and not self.warm_up.start_rate:
             return max(1, int(self.queue.concurrency_limit * COLD_CAPACITY_RATIO))
         return self.queue.concurrency_limit
 
@@ -204,8 +216,20 @@
             self.queue.in_flight,
             self.service_ms,
             self._failure_ratio,
+            start_rate=self.warm_up.start_rate,
         )
 
+    def enable(self) -> None:
+        """Accept calls, as this node now has a configuration.
+
+        Before, it is unknown how many calls a cold backend server tolerates.
+        """
+        self._enabled = True
+        if self.warm_up.start_rate:
+            self._log_cold()
+        else:
+            self.assume_cold()
+
     def stop(self) -> None:
         """Accept no further calls, because this node is stopping."""
         self._node_stopping = True
@@ -249,6 +273,7 @@
             or last_report.start_time_ms != report.start_time_ms
         )
         self._report = report
+        was_unavailable = self._unavailable
         if is_new_incarnation:
             self._reset_for_incarnation(report)
         if self._match_drain(report):
@@ -260,6 +285,10 @@
                 self._journal.emit(BACKEND_ANNOUNCED, backend=report.instance)
             self._draining = False
             self._unavailable = False
+            if last_report is None or (was_unavailable and not is_new_incarnation):
+                # The report may be older than a restart under the same id.
+                self.assume_cold()
+        self._record_cold_time(report)
         return True
 
     def _match_drain(self, report: StatusReport) -> bool:
@@ -341,12 +370,69 @@
 
     def _reset_for_incarnation(self, report: StatusReport) -> None:
         """Replace the state that was kept for the previous incarnation."""
-        self._pool.close_idle()
+        self.pool.close_idle()
         self._draining = True
         self._failure_ratio = 0.0
-        self._cold_until = time.monotonic() + report.cold_remaining_seconds
+        self.warm_up.record_cold_time(0.0)
         self.queue.resize(report.slots)
 
+    def assume_cold(self) -> None:
+        """Treat the backend server as cold until it says whether it is.
+
+        Without a limit on starts at cold backend servers this has no effect. If it is
+        known to be cold already, nothing changes.
+        """
+        if not self.instance or self.warm_up.start_rate:
+            return
+        self.warm_up.assume_cold()
+        if self.warm_up.is_assumed:
+            self._log_cold()
+            self._request_health_check()
+
+    def record_health(self, answer: HealthAnswer) -> None:
+        """Record what a health check of the backend server shows."""
+        if answer.instance != self.instance:
+            return
+        self.warm_up.record_cold_time(self._limit_cold_time(answer.cold_seconds))
+        self._announce_cold_time()
+
+    def _record_cold_time(self, report: StatusReport) -> None:
+        previous_rate = self.warm_up.start_rate
+        self.warm_up.record_report(self._limit_cold_time(report.cold_remaining_seconds))
+        if self.warm_up.start_rate != previous_rate:
+            self._announce_cold_time()
+
+    def _announce_cold_time(self) -> None:
+        """Tell the other nodes that the backend server is cold, or no longer is."""
+        if self.warm_up.start_rate:
+            self._log_cold()
+        self.queue.start_queued_calls()
+        self._broadcast_state()
+
+    def _limit_cold_time(self, seconds: float) -> float:
+        """Return a cold time that is at most what the operator states as the longest.
+
+        A longer one is logged; it would keep calls from the backend server for good.
+        """
+        max_seconds = self.warm_up.max_seconds
+        if max_seconds is None or seconds <= max_seconds:
+            return seconds
+        self._journal.emit(
+            VALUE_IGNORED,
+            service=self._service,
+            reason=f"cold for {seconds:g} s, at most {max_seconds:g} s are possible",
+        )
+        return max_seconds
+
+    def _log_cold(self) -> None:
+        self._journal.emit(
+            BACKEND_COLD,
+            backend=self._report and self._report.instance,
+            seconds=round(self.warm_up.remaining_seconds, 3),
+            calls_per_second=self.warm_up.start_rate,
+            assumed=self.warm_up.is_assumed,
+        )
+
     def _mark_unavailable(self) -> None:
         """Accept no calls for a backend server that has crashed, and announce it.
 
@@ -359,7 +445,7 @@
         if self._unavailable:
             return
         self._unavailable = True
-        self._pool.close_idle()
+        self.pool.close_idle()
         self._journal.emit(
             BACKEND_UNAVAILABLE, backend=self._report and self._report.instance
         )
@@ -383,7 +469,7 @@
             )
 
         try:
-            connection = await self._pool.acquire(non_idempotent=not call.idempotent)
+            connection = await self.pool.acquire(non_idempotent=not call.idempotent)
         except ExchangeError as error:
             self._record_outcome(failed=True)
             if error.refused:
@@ -402,7 +488,7 @@
                 raise not_run(Reason.CONNECTION_LOST, error.detail) from error
             raise may_have_run(Reason.CONNECTION_LOST, error.detail) from error
         finally:
-            self._pool.release(connection)
+            self.pool.release(connection)
         assert parsed is not None
         return self._classify_answer(answer, parsed)
 
--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -11,6 +11,7 @@
 import time
 
 from ..verdicts import not_run, Reason
+from .warm_up import WarmUp
 
 # Concurrency limit, as a fraction of the backend server's slots. A backend server slows
 # down when nearly all of its slots are taken: using the last ones reduces throughput.
@@ -52,9 +53,13 @@
     Args:
         slots: Calls that the backend server can run concurrently. The concurrency limit
             is a fraction of them (`CONCURRENCY_LIMIT_RATIO`).
+        warm_up: Limits the calls that start while the backend server is cold; None for
+            no limit.
     """
 
-    def __init__(self, slots: int):
+    def __init__(self, slots: int, warm_up: WarmUp | None = None):
+        self._warm_up = warm_up
+        self._start_timer: asyncio.TimerHandle | None = None
         self._concurrency_limit = 1
         self._running = 0
         # Heap of queued calls: sort time, entry ID, deadline, and the future that
@@ -111,7 +116,7 @@
     def resize(self, slots: int) -> None:
         """Set the number of slots, and start queued calls on any that are added."""
         self._concurrency_limit = max(1, int(slots * CONCURRENCY_LIMIT_RATIO))
-        self._start_queued_calls()
+        self.start_queued_calls()
 
     def take_average_in_flight(self) -> float:
         """Return the average number of calls in flight, and start a new average.
@@ -148,13 +153,21 @@
         """
         now = time.monotonic()
         self._integrate_in_flight(now)
-        if self._running < self._concurrency_limit and not self._queued:
+        if (
+            self._running < self._concurrency_limit
+            and not self._queued
+            and not self._get_start_delay()
+        ):
             return self._take_slot(now)
         max_queued_per_slot = (
             MAX_NESTED_QUEUED_PER_SLOT if nested else MAX_QUEUED_PER_SLOT
         )
         if self._queued >= self._concurrency_limit * max_queued_per_slot:
-            raise not_run(Reason.OVERLOADED, f"queue is full: {self._queued} calls")
+            is_cold = self._get_start_delay(self._queued) > 0
+            raise not_run(
+                Reason.BACKEND_COLD if is_cold else Reason.OVERLOADED,
+                f"queue is full: {self._queued} calls",
+            )
         sort_time = now + LATENCY_TARGET_WEIGHT * max(0.0, latency_target)
         calls_ahead = self._count_ahead(sort_time)
         expected_wait = (
@@ -167,6 +180,13 @@
                 MAX_NESTED_RESPONSE_SERVICE_TIMES * self._service_seconds,
             )
             max_response_seconds = min(remaining, max_nested_seconds)
+        start_delay = self._get_start_delay(calls_ahead)
+        if start_delay + self._service_seconds > max_response_seconds:
+            raise not_run(
+                Reason.BACKEND_COLD,
+                f"the backend server is cold: {calls_ahead} calls ahead, "
+                f"start in {start_delay:.1f} s",
+            )
         if expected_wait + self._service_seconds > max_response_seconds:
             raise not_run(
                 Reason.OVERLOADED,
@@ -177,6 +197,7 @@
         entry = (sort_time, next(self._ids), now + remaining, waiter)
         heapq.heappush(self._waiters, entry)
         self._queued += 1
+        self._schedule_start()
         # Before the caller times out: a timeout does not show whether the call ran.
         refuse_at = now + remaining - self._service_seconds / 2
         timer = loop.call_at(refuse_at, self._refuse_expired, waiter)
@@ -211,7 +232,7 @@
             self._reclaimed_slots.discard(slot)
             return
         self._running -= 1
-        self._start_queued_calls()
+        self.start_queued_calls()
 
     def _record_service_time(self, seconds: float, completed: bool) -> None:
         if not completed and seconds <= self._service_seconds:
@@ -228,7 +249,29 @@
         self._slot_seconds += weight * (held_seconds - self._slot_seconds)
         self._has_measurement = True
 
+    def _get_start_delay(self, calls_ahead: int = 0) -> float:
+        """Return the seconds until a call may start at a cold backend server."""
+        if self._warm_up is None:
+            return 0.0
+        return self._warm_up.get_start_delay(calls_ahead)
+
+    def _schedule_start(self) -> None:
+        """Start the next queued call as soon as the cold backend server tolerates it.
+
+        Without a delay, the call starts when a slot is released.
+        """
+        delay = self._get_start_delay()
+        if delay and self._start_timer is None:
+            loop = asyncio.get_running_loop()
+            self._start_timer = loop.call_later(delay, self._start_after_delay)
+
+    def _start_after_delay(self) -> None:
+        self._start_timer = None
+        self.start_queued_calls()
+
     def _take_slot(self, now: float) -> int:
+        if self._warm_up is not None:
+            self._warm_up.record_start()
         slot = next(self._ids)
         self._slot_acquired_at[slot] = now
         self._running += 1
@@ -245,7 +288,7 @@
             if slot not in self._reclaimed_slots:
                 self._reclaimed_slots.add(slot)
                 self._running -= 1
-        self._start_queued_calls()
+        self.start_queued_calls()
 
     def _refuse_expired(self, waiter: "asyncio.Future[int]") -> None:
         if not waiter.done():
@@ -262,8 +305,12 @@
         fraction_ahead = sum(entry[0] <= sort_time for entry in sample) / len(sample)
         return int(fraction_ahead * self._queued)
 
-    def _start_queued_calls(self) -> None:
+    def start_queued_calls(self) -> None:
+        """Start the queued calls for which slots are free, in their order."""
         while self._waiters and self._running < self._concurrency_limit:
+            if self._get_start_delay():
+                self._schedule_start()
+                break
             _, _, deadline, waiter = heapq.heappop(self._waiters)
             if waiter.done():
                 continue
--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -1,7 +1,6 @@
 """Chooses a node for a call, sends it there, and retries it elsewhere on failure."""
 
 import asyncio
-import random
 import time
 
 from ..observe.events import CALL_RETRIED, Journal
@@ -387,18 +386,3 @@
         # No timer here: the sender cancels the call at its deadline. A timer for each
         # call would cost half as much as the other work on the call.
         return await self._backend.serve(message, remaining)
-
-
-def draw_retry_after(remaining: float, rng: random.Random) -> float:
-    """Return the seconds after which a refused caller should retry.
-
-    Callers follow a Retry-After of up to a third of the time left until their deadline.
-    The result is below this, so that the retry can be served in time, and random, so
-    that callers refused together do not retry together.
-
-    Args:
-        remaining: Seconds left until the caller's deadline.
-        rng: Draws the result.
-    """
-    max_retry_after = remaining / 3
-    return rng.uniform(0.25, 0.9) * max_retry_after
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -44,7 +44,11 @@
         if state.instance:
             service = peer.entry.service
             load = self.loads.setdefault(service, ServiceLoad())
-            load.add(state.in_flight, state.slots, state.slot_ms)
+            start_rate = peer.start_rate
+            if start_rate:
+                load.add_cold(start_rate, peer.cold_seconds)
+            else:
+                load.add(state.in_flight, state.slots, state.slot_ms)
             self.record_cost(
                 service, peer.entry.zone, estimate_penalty_ms(build_candidate(peer))
             )
@@ -75,6 +79,7 @@
         state.service_ms,
         peer.failure_ratio,
         downstream_cost_ms,
+        peer.start_rate,
     )
 
 
--- a/primroseglade/sidecar/http_client.py
+++ b/primroseglade/sidecar/http_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import time
 from collections.abc import Callable
 
@@ -31,6 +32,10 @@
 # may be closing it, and it would be unknown whether the request ran.
 NON_IDEMPOTENT_MAX_IDLE_SECONDS = 2.0
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# A server's process has probably ended if it closes at least this many connections
+# within this time, and none is left.
+MIN_CONNECTIONS_LOST = 2
+ALL_LOST_WITHIN_SECONDS = 0.05
 
 
 class ExchangeError(Exception):
@@ -66,6 +71,10 @@
 class ClientConnection(asyncio.Protocol):
     """The client side of one connection; carries one request at a time.
 
+    Args:
+        on_lost: Called once the connection is closed, with whether the server closed
+            it.
+
     Attributes:
         idle_since: ``time.monotonic()`` of the last return to the pool.
         idle_timeout: Idle seconds after which the connection must not be reused.
@@ -75,9 +84,11 @@
         "_accept",
         "_body_bytes",
         "_chunks",
+        "_closed_here",
         "_delimited_by_close",
         "_head_only",
         "_loop",
+        "_on_lost",
         "_parser",
         "_pending",
         "_response",
@@ -87,8 +98,10 @@
         "idle_timeout",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, on_lost: Callable[[bool], None]) -> None:
         self._loop = asyncio.get_running_loop()
+        self._on_lost = on_lost
+        self._closed_here = False
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._response: Response | None = None
@@ -135,6 +148,7 @@
         self._transport = None
         reason = str(exc) if exc else "closed by the server"
         self._fail(ExchangeError(f"connection lost: {reason}", sent=True))
+        self._on_lost(not self._closed_here)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
@@ -237,6 +251,7 @@
     def close(self) -> None:
         """Close the connection at once, dropping unsent bytes."""
         self._reusable = False
+        self._closed_here = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -276,12 +291,25 @@
     Args:
         address: ``IP:PORT``.
         connect_timeout: Maximum time to open a connection, in seconds.
+        on_all_lost: Called when the server has closed all open connections within a
+            short time, as the end of its process does.
     """
 
-    def __init__(self, address: str, connect_timeout: float):
+    def __init__(
+        self,
+        address: str,
+        connect_timeout: float,
+        on_all_lost: Callable[[], None] = lambda: None,
+    ):
         self._host, self._port = parse_address(address)
         self._connect_timeout = connect_timeout
+        self._on_all_lost = on_all_lost
         self._idle: list[ClientConnection] = []
+        self._open_count = 0
+        # When the server closed the last connections, the oldest first.
+        self._lost_at: collections.deque[float] = collections.deque(
+            maxlen=MIN_CONNECTIONS_LOST
+        )
 
     async def acquire(self, non_idempotent: bool = False) -> ClientConnection:
         """Return an idle connection, or open one.
@@ -326,10 +354,25 @@
         try:
             async with asyncio.timeout(self._connect_timeout):
                 _, connection = await loop.create_connection(
-                    ClientConnection, self._host, self._port
+                    lambda: ClientConnection(self._handle_lost), self._host, self._port
                 )
         except (TimeoutError, OSError) as error:
             detail = f"cannot connect: {str(error) or 'timed out'}"
             refused = isinstance(error, ConnectionRefusedError)
             raise ExchangeError(detail, sent=False, refused=refused) from error
+        self._open_count += 1
         return connection
+
+    def _handle_lost(self, by_server: bool) -> None:
+        self._open_count -= 1
+        if not by_server:
+            return
+        now = time.monotonic()
+        self._lost_at.append(now)
+        if (
+            not self._open_count
+            and len(self._lost_at) == MIN_CONNECTIONS_LOST
+            and now - self._lost_at[0] < ALL_LOST_WITHIN_SECONDS
+        ):
+            self._lost_at.clear()
+            self._on_all_lost()
--- a/primroseglade/sidecar/load_balancing.py
+++ b/primroseglade/sidecar/load_balancing.py
@@ -50,6 +50,8 @@
         failure_ratio: Fraction of recent calls that failed.
         downstream_cost_ms: Cost in milliseconds of the downstream calls that the call
             makes if it runs there (`zone_costs.py`).
+        start_rate: Calls per second that may start there while the backend server is
+            cold; 0 if starts are not limited.
     """
 
     __slots__ = (
@@ -60,6 +62,7 @@
         "same_zone",
         "service_ms",
         "slots",
+        "start_rate",
     )
 
     def __init__(
@@ -71,6 +74,7 @@
         service_ms: float,
         failure_ratio: float,
         downstream_cost_ms: float = 0.0,
+        start_rate: float = 0.0,
     ):
         self.name = name
         self.same_zone = same_zone
@@ -78,6 +82,7 @@
         self.in_flight = in_flight
         self.service_ms = service_ms
         self.failure_ratio = failure_ratio
+        self.start_rate = start_rate
         self.downstream_cost_ms = downstream_cost_ms
 
 
@@ -116,7 +121,11 @@
     >>> full = Candidate("b", True, 20, 90, 15.0, 0.0)
     >>> estimate_cost_ms(full) > 2 * estimate_cost_ms(idle)
     True
+    >>> estimate_cost_ms(Candidate("cold", True, 20, 2, 15.0, 0.0, start_rate=5.0))
+    600.0
     """
+    if candidate.start_rate:
+        return (candidate.in_flight + 1) / candidate.start_rate * 1000
     utilization = (candidate.in_flight + 1) / max(1, candidate.slots)
     queued_per_slot = max(0.0, utilization - 1.0)
     return max(1.0, candidate.service_ms) * (
@@ -136,6 +145,8 @@
     >>> estimate_penalty_ms(Candidate("full", True, 20, 39, 15.0, 0.0))
     15.0
     """
+    if candidate.start_rate:
+        return estimate_cost_ms(candidate)
     utilization = (candidate.in_flight + 1) / max(1, candidate.slots)
     work_ms = max(1.0, candidate.service_ms)
     cost_ms = work_ms * max(1.0, utilization)
@@ -171,6 +182,7 @@
             candidate
             for candidate in same_zone_candidates
             if candidate.in_flight < EXPLORATION_MAX_UTILIZATION * candidate.slots
+            and not candidate.start_rate
         ]
         if available:
             return rng.choice(available)
--- a/primroseglade/sidecar/load_monitor.py
+++ b/primroseglade/sidecar/load_monitor.py
@@ -80,7 +80,11 @@
         local_candidate = backend.build_candidate("")
         if local_candidate is not None:
             load = survey.loads.setdefault(backend.service, ServiceLoad())
-            load.add(self.average_in_flight, backend.slots, backend.slot_ms)
+            warm_up = backend.warm_up
+            if warm_up.start_rate:
+                load.add_cold(warm_up.start_rate, warm_up.remaining_seconds)
+            else:
+                load.add(self.average_in_flight, backend.slots, backend.slot_ms)
             cost_ms = estimate_penalty_ms(local_candidate)
             survey.record_cost(backend.service, self._fleet.zone, cost_ms)
         for service, calls in self._admission.measure_demand(now).items():
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from .warm_up import WarmUpLimits
+
 # The least urgent priority, used for routes that specify none. 0 is the most urgent.
 LOWEST_PRIORITY = 9
 
@@ -154,6 +156,25 @@
         self.idle_timeout = idle_timeout
 
 
+class ServiceOptions:
+    """The operator's options of a service that concern its backend servers.
+
+    Args:
+        name: Name of the service.
+        health_path: Path of health checks; empty if there is none.
+        warm_up: Limits on calls to cold backend servers; None if there are none.
+    """
+
+    __slots__ = ("health_path", "name", "warm_up")
+
+    def __init__(
+        self, name: str, health_path: str = "", warm_up: WarmUpLimits | None = None
+    ):
+        self.name = name
+        self.health_path = health_path
+        self.warm_up = warm_up
+
+
 class Policy:
     """A policy: one decoded version of the operator's configuration.
 
@@ -162,9 +183,18 @@
         routes: All routes.
         tenants: Workspaces by API key; None if no call needs a key.
         limits: Limits on what callers may send.
+        services: Options of services by name.
+        invalid_services: Services with invalid options, and what is wrong with these.
     """
 
-    __slots__ = ("limits", "routes", "tenants", "version")
+    __slots__ = (
+        "invalid_services",
+        "limits",
+        "routes",
+        "services",
+        "tenants",
+        "version",
+    )
 
     def __init__(
         self,
@@ -172,11 +202,15 @@
         routes: list[Route],
         tenants: dict[bytes, Tenant] | None,
         limits: CallerLimits,
+        services: dict[str, ServiceOptions],
+        invalid_services: dict[str, str],
     ):
         self.version = version
         self.routes = routes
         self.tenants = tenants
         self.limits = limits
+        self.services = services
+        self.invalid_services = invalid_services
 
 
 class BackendState(enum.Enum):
@@ -296,6 +330,9 @@
         demand: Calls per second caused by requests of callers, admitted or not, by
             service.
         slot_ms: Typical time for which a call holds a slot, in milliseconds.
+        start_rate: Calls per second that may start at the backend server while it is
+            cold; 0 if starts are not limited.
+        cold_ms: Milliseconds for which the backend server stays cold.
     """
 
     instance: str = ""
@@ -309,6 +346,8 @@
     sequence: int = 0
     demand: dict[str, float] = {}
     slot_ms: float = 0.0
+    start_rate: float = 0.0
+    cold_ms: int = 0
 
     def copy(self) -> "NodeState":
         """Return a shallow copy, to be modified independently."""
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -29,6 +29,7 @@
 from .dispatch import Dispatcher
 from .fleet import Fleet
 from .frames import PolicyAnswer, TokenGrant, TokenRequest
+from .health_check import HealthChecker, HealthDialect
 from .http_server import build_local_server, HttpServer
 from .load_balancing import compute_cross_zone_surcharge_ms
 from .load_monitor import LoadMonitor
@@ -51,6 +52,7 @@
 from .retry_budget import RetryBudget
 from .server_connection import Handler
 from .state_broadcast import BROADCAST_SECONDS, StateBroadcaster
+from .warm_up import WarmUp
 from .zone_costs import ZoneCosts
 
 STORE_RETRY_SECONDS = 0.5
@@ -69,7 +71,7 @@
 STOP_MARGIN_SECONDS = 0.85
 
 
-class NodeDialect(CallerDialect, BackendDialect, Protocol):
+class NodeDialect(CallerDialect, BackendDialect, HealthDialect, Protocol):
     """The protocol spoken with callers and backend servers."""
 
 
@@ -119,6 +121,7 @@
             settings.first_start,
             journal,
             self._broadcast_state,
+            lambda: self.backend.enable(),
         )
         self.call_ratios = CallRatioEstimator()
         self.backend = Backend(
@@ -126,8 +129,22 @@
             settings.backend,
             dialect,
             self.call_ratios,
+            WarmUp(
+                lambda: self.policies.get_warm_up_limits(settings.service),
+                settings.cold_overshoot,
+                time.monotonic,
+            ),
             journal,
             self._broadcast_state,
+            self._start_health_checks,
+        )
+        self._health_checker = HealthChecker(
+            settings.backend,
+            self.backend.pool,
+            dialect,
+            lambda: self.policies.get_health_path(settings.service),
+            lambda: bool(self.backend.instance) and self.backend.warm_up.is_assumed,
+            self.backend.record_health,
         )
         self.fleet = Fleet(self, self._supervisor, journal, self._rng)
         self.registration = BackendRegistration(
@@ -495,6 +512,8 @@
             self.policies.version,
             demand=self.admission.measure_demand(time.monotonic()),
             slot_ms=backend.slot_ms,
+            start_rate=backend.warm_up.start_rate,
+            cold_ms=int(backend.warm_up.remaining_seconds * 1000),
         )
 
     def _estimate_cross_zone_surcharge_ms(self, name: str) -> float:
@@ -507,5 +526,8 @@
     def _report_stall(self, recently_stalled: bool) -> None:
         self._outbound_server.recently_stalled = recently_stalled
 
+    def _start_health_checks(self) -> None:
+        self._supervisor.start_once("health check", self._health_checker.run)
+
     def _broadcast_state(self) -> None:
         self._state_broadcaster.broadcast_now()
--- a/primroseglade/sidecar/node_settings.py
+++ b/primroseglade/sidecar/node_settings.py
@@ -28,10 +28,13 @@
             may exceed what a workspace's rate and burst allow.
         quota_slack: Number of further calls that the fleet may admit in a window.
         quota_window: Length of the rate limits' window, in seconds.
+        cold_overshoot: Factor by which calls may exceed the rate that a cold backend
+            server tolerates.
     """
 
     __slots__ = (
         "backend",
+        "cold_overshoot",
         "config_apply",
         "control",
         "first_start",
@@ -75,6 +78,7 @@
         quota_overshoot: float,
         quota_slack: float,
         quota_window: float,
+        cold_overshoot: float,
     ):
         self.name = name
         self.zone = zone
@@ -96,3 +100,4 @@
         self.quota_overshoot = quota_overshoot
         self.quota_slack = quota_slack
         self.quota_window = quota_window
+        self.cold_overshoot = cold_overshoot
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -119,6 +119,7 @@
         self.state = NodeState()
         self._loop = asyncio.get_running_loop()
         self.in_flight = 0.0
+        self._cold_until = 0.0
         #: Fraction of failed calls: as last reported, then updated by each call sent.
         self.failure_ratio = 0.0
         self._host = host
@@ -150,6 +151,20 @@
         """Whether calls can be sent to the peer's backend server."""
         return bool(self.state.instance) and self.connected
 
+    @property
+    def start_rate(self) -> float:
+        """Calls per second that may start at its backend server while that is cold.
+
+        0 if starts are not limited.
+        """
+        rate = self.state.start_rate
+        return rate if rate and self.cold_seconds > 0 else 0.0
+
+    @property
+    def cold_seconds(self) -> float:
+        """Seconds for which its backend server is still cold."""
+        return max(0.0, self._cold_until - time.monotonic())
+
     @property
     def has_pending_requests(self) -> bool:
         """Whether requests await the peer's reply."""
@@ -193,6 +208,7 @@
         if state.downstream_calls is None:
             state.downstream_calls = self.state.downstream_calls
         self.state = state
+        self._cold_until = time.monotonic() + state.cold_ms / 1000
         self.record_in_flight(state.in_flight)
         self.failure_ratio = state.failure_ratio
         self._host.handle_state(self)
--- a/primroseglade/sidecar/policy_tracker.py
+++ b/primroseglade/sidecar/policy_tracker.py
@@ -20,12 +20,14 @@
     LOG_UNAVAILABLE,
     PEER_REQUEST_FAILED,
     POLICY_IN_FORCE,
+    VALUE_IGNORED,
 )
 from .freshness import Freshness
-from .model import CallerLimits, Policy
+from .model import CallerLimits, Policy, ServiceOptions
 from .peer import Peer
 from .read_schedule import ReadSchedule
 from .route_table import RouteTable
+from .warm_up import WarmUpLimits
 
 MIN_READ_INTERVAL_SECONDS = 0.2
 # How long the store holds a long poll open if there is no update. Longer polls need
@@ -115,6 +117,7 @@
         first_start: Whether the whole fleet starts for the first time.
         journal: Receives events.
         broadcast_state: Broadcasts this node's state, with the policy version, at once.
+        on_first_policy: Called when the first policy is in force.
     """
 
     def __init__(
@@ -125,18 +128,21 @@
         first_start: bool,
         journal: Journal,
         broadcast_state: Callable[[], None],
+        on_first_policy: Callable[[], None],
     ):
         self._store = store
         self._max_age_seconds = revoke_seconds * MAX_AGE_RATIO
         self._first_start = first_start
         self._journal = journal
         self._broadcast_state = broadcast_state
+        self._on_first_policy = on_first_policy
         self._freshness = Freshness()
         self._policy: Policy | None = None
         self._active_since = 0.0
         self._encoded_policy = b""
         self._next_offset: int | None = None
         self._routes = RouteTable([])
+        self._services: dict[str, ServiceOptions] = {}
         self._is_fetching = False
         self._is_store_unavailable = False
         self._schedule = ReadSchedule(apply_seconds, random.Random())
@@ -172,6 +178,16 @@
         """The active policy's limits on callers."""
         return self._policy.limits if self._policy else CallerLimits()
 
+    def get_health_path(self, service: str) -> str:
+        """Return the path of health checks of a service; empty if there is none."""
+        options = self._services.get(service)
+        return options.health_path if options is not None else ""
+
+    def get_warm_up_limits(self, service: str) -> WarmUpLimits | None:
+        """Return the limits on calls to cold backend servers of a service, if any."""
+        options = self._services.get(service)
+        return options.warm_up if options is not None else None
+
     @property
     def age(self) -> float:
         """Seconds since the active policy was last known to be the newest."""
@@ -356,10 +372,12 @@
             if policy.version == self.version:
                 self._freshness.confirm(asked_at, age_seconds)
             return
+        is_first_policy = self._policy is None
         self._policy = policy
         self._active_since = time.monotonic()
         self._encoded_policy = record
         self._routes = RouteTable(policy.routes)
+        self._apply_services(policy)
         self._freshness.confirm(asked_at, age_seconds)
         self._journal.emit(
             POLICY_IN_FORCE,
@@ -368,9 +386,22 @@
             routes=len(policy.routes),
             keys=len(policy.tenants or ()),
         )
+        if is_first_policy:
+            self._on_first_policy()
         if source == STORE_SOURCE:
             self._broadcast_state()
 
+    def _apply_services(self, policy: Policy) -> None:
+        """Apply the options of services; invalid ones leave a service as it was."""
+        services = dict(policy.services)
+        for name, reason in policy.invalid_services.items():
+            if name in self._services:
+                services[name] = self._services[name]
+            self._journal.emit(
+                VALUE_IGNORED, version=policy.version, service=name, reason=reason
+            )
+        self._services = services
+
     def _record_store_status(self, is_unavailable: bool, error: str = "") -> None:
         if is_unavailable != self._is_store_unavailable:
             self._is_store_unavailable = is_unavailable
--- a/primroseglade/sidecar/request_handler.py
+++ b/primroseglade/sidecar/request_handler.py
@@ -12,12 +12,13 @@
 from .call_graph import CallGraph
 from .call_ratios import CallRatioEstimator
 from .deadlines import Deadlines
-from .dispatch import Dispatcher, draw_retry_after, Outcome, OutgoingCall
+from .dispatch import Dispatcher, Outcome, OutgoingCall
 from .http_messages import Reply, Request
 from .model import rank_request, Route, Tenant
 from .node_metrics import NodeMetrics
 from .policy_tracker import PolicyTracker
 from .quota import Quotas, TokenDecision
+from .retry_after import draw_retry_after
 from .retry_budget import RetryBudget
 
 # Minimum Retry-After of a refusal.
@@ -240,12 +241,21 @@
             if refusal.verdict is Verdict.NOT_RUN and tenant is not None:
                 self._quotas.refund(tenant)
             if refusal.verdict is Verdict.NOT_RUN and refusal.retry_after is None:
-                remaining = call.deadline - time.monotonic()
-                refusal.retry_after = draw_retry_after(remaining, self._rng)
+                refusal.retry_after = self._draw_retry_after(call, refusal)
             raise
         finally:
             self._deadlines.end(tracked_deadline)
 
+    def _draw_retry_after(self, call: OutgoingCall, refusal: Refusal) -> float:
+        now = time.monotonic()
+        not_before = 0.0
+        if refusal.reason is Reason.BACKEND_COLD:
+            expected_calls = self._graph.get_expected_calls(
+                call.route.name, call.service
+            )
+            not_before = self._admission.get_warm_up_seconds(expected_calls, now)
+        return draw_retry_after(call.deadline - now, self._rng, not_before)
+
     def stop(self, refuse_after: float, stops_at: float) -> None:
         """Schedule the refusal of requests that might outlast this node.
 
@@ -346,10 +356,15 @@
         """Record the demand of a request, and raise a refusal if it is not admitted."""
         expected_calls = self._graph.get_expected_calls(route.name, service)
         self._admission.record_demand(expected_calls, rank, now)
-        if not self._admission.admits(expected_calls, rank):
-            retry_after = draw_retry_after(remaining, self._rng)
-            detail = "a service that the request depends on is overloaded"
-            raise not_run(Reason.OVERLOADED, detail, retry_after)
+        if self._admission.admits(expected_calls, rank):
+            return
+        warm_up_seconds = self._admission.get_warm_up_seconds(expected_calls, now)
+        retry_after = draw_retry_after(remaining, self._rng, warm_up_seconds)
+        if warm_up_seconds:
+            detail = f"a needed service is cold for another {warm_up_seconds:.1f} s"
+            raise not_run(Reason.BACKEND_COLD, detail, retry_after)
+        detail = "a service that the request depends on is overloaded"
+        raise not_run(Reason.OVERLOADED, detail, retry_after)
 
     def _refuse(
         self, request: Request, fields: CallerFields, route: str, refusal: Refusal
--- a/primroseglade/stand_ins/mesh_backend.py
+++ b/primroseglade/stand_ins/mesh_backend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable
 
 from ..sidecar.http_client import ConnectionPool
@@ -9,6 +10,7 @@
 from ..sidecar.http_server import HttpServer
 
 REPORT_INTERVAL_SECONDS = 0.3
+HEALTH_PATH = b"/health"
 
 
 class MeshBackend:
@@ -26,7 +28,10 @@
 
     Attributes:
         state: State that it reports, such as ``ready`` or ``draining``.
+        cold_until: ``time.monotonic()`` until which it says that it is cold.
         executed_request_ids: Ids of the requests that began to run.
+        executed_at: ``time.monotonic()`` at which each of them began.
+        health_checks: Number of health checks.
         cancelled: Number of requests that were cancelled while they ran.
         seen_headers: Headers of all requests, also of those refused as misdirected.
         answer: Function that builds the responses, or None for the usual ones.
@@ -50,7 +55,10 @@
         self.processing_seconds = processing_seconds
         self.start_time_ms = start_time_ms
         self.state = "ready"
+        self.cold_until = 0.0
         self.executed_request_ids: list[str] = []
+        self.executed_at: list[float] = []
+        self.health_checks = 0
         self.cancelled = 0
         self.seen_headers: list[dict[str, str]] = []
         self.answer: Callable[[Request, dict[str, str]], Reply] | None = None
@@ -58,6 +66,10 @@
         self._control = ConnectionPool(control, 1.0)
         self._server = HttpServer(address, self._handle)
 
+    @property
+    def _cold_ms(self) -> int:
+        return int(max(0.0, self.cold_until - time.monotonic()) * 1000)
+
     async def run(self) -> None:
         """Serve and report until cancelled."""
         server = asyncio.create_task(self._server.run())
@@ -68,9 +80,16 @@
         finally:
             server.cancel()
 
-    async def report_status(self) -> int:
-        """Send a status report and return the response status, 0 for no response."""
+    async def report_status(self, cold_ms: int | None = None) -> int:
+        """Send a status report and return the response status, 0 for no response.
+
+        Args:
+            cold_ms: Milliseconds for which it says that it is cold, if not the true
+                ones, as in a report that was sent earlier.
+        """
         self._sequence += 1
+        if cold_ms is None:
+            cold_ms = self._cold_ms
         body = {
             "service": self.service,
             "address": self.address,
@@ -78,7 +97,7 @@
             "version": "v1",
             "capacity_slots": self.slots,
             "state": self.state,
-            "cold_remaining": "0ms",
+            "cold_remaining": f"{cold_ms}ms",
             "sequence": self._sequence,
             "born": self.start_time_ms,
         }
@@ -110,12 +129,15 @@
         headers = {
             name.decode().lower(): value.decode() for name, value in request.headers
         }
+        if request.target == HEALTH_PATH:
+            return self._answer_health_check()
         self.seen_headers.append(headers)
         expected = headers.get("x-primroseglade-expected-instance", self.instance)
         if expected != self.instance:
             return Reply(render_status_line(421), b"")
         request_id = headers.get("x-primroseglade-request-id", "")
         self.executed_request_ids.append(request_id)
+        self.executed_at.append(time.monotonic())
         try:
             await asyncio.sleep(self.processing_seconds)
         except asyncio.CancelledError:
@@ -125,6 +147,16 @@
             return self.answer(request, headers)
         return self.build_response(request_id, b"served by " + self.instance.encode())
 
+    def _answer_health_check(self) -> Reply:
+        self.health_checks += 1
+        head = (
+            render_status_line(200)
+            + f"X-Primroseglade-Upstream-Instance: {self.instance}\r\n".encode()
+        )
+        if self._cold_ms:
+            head += f"X-Primroseglade-Cold-Ms: {self._cold_ms}\r\n".encode()
+        return Reply(head, b"")
+
     def build_response(self, request_id: str, body: bytes) -> Reply:
         """Return a response with the request id and signature that nodes check."""
         head = (
--- a/primroseglade/verdicts.py
+++ b/primroseglade/verdicts.py
@@ -36,6 +36,7 @@
     CONFIGURATION_MISSING = ("configuration-missing", 503)
     CONFIGURATION_STALE = ("configuration-stale", 503)
     DRAINING = ("draining", 503)
+    BACKEND_COLD = ("backend-cold", 503)
     NO_BACKEND_SERVER = ("no-backend-server", 503)
     OVERLOADED = ("overloaded", 503)
     RATE_UNAVAILABLE = ("rate-unavailable", 503)
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -115,6 +115,7 @@
         "quota_overshoot": 0.1,
         "quota_slack": 20,
         "quota_window": 5.0,
+        "cold_overshoot": 1.0,
     }
     return NodeSettings(**(fields | changes))
 
