Send nothing to backend servers of an evacuated zone

Cause: nothing read the operator's evacuations.

Change: the adapter decodes the keys of evacuations beside the configuration; evacuations.py keeps the newest set, ordered by the offset of the operator's records up to which it is complete, so that neither a late message nor a node that is behind undoes it. Readers of the store broadcast a change at once; states and answers to pings carry the set, so that each node that hears of the configuration's age hears of evacuations, too. Entries choose no backend server in an evacuated zone (zone_rules.py); the node beside a backend server refuses its queued and later calls as not run, which are sent elsewhere. When an evacuation is taken back, backend servers are taken for cold until a health check says otherwise.

--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -131,6 +131,19 @@
     "The field `reason` names the value and its limits; the last valid value stays in "
     "force.",
 )
+EVACUATION_STARTED = _define(
+    233,
+    "warning",
+    "zone evacuated",
+    "No calls are sent to backend servers of the zone until the operator takes the "
+    "evacuation back.",
+)
+EVACUATION_ENDED = _define(
+    234,
+    "info",
+    "evacuation taken back",
+    "Backend servers of the zone receive calls again, few while they are cold.",
+)
 STORE_WRITE_FAILED = _define(
     231,
     "warning",
--- a/primroseglade/platform/settings.py
+++ b/primroseglade/platform/settings.py
@@ -36,6 +36,14 @@
     return decode_settings(Fields(value, path))
 
 
+def _decode_zones(fields: Fields) -> dict[str, str]:
+    """Return the region of each zone; only the node's own zone if none is listed."""
+    zone = fields.get_string("zone")
+    if not fields.has("zones"):
+        return {zone: fields.get_string("region", "")}
+    return fields.get_object("zones").get_strings()
+
+
 def decode_settings(fields: Fields) -> PlatformSettings:
     """Return the settings from the file's JSON object.
 
@@ -51,6 +59,7 @@
     node = NodeSettings(
         name=fields.get_string("node_name"),
         zone=fields.get_string("zone"),
+        zones=_decode_zones(fields),
         service=fields.get_string("service"),
         backend=fields.get_string("app_addr"),
         host=host,
--- a/primroseglade/platform/store.py
+++ b/primroseglade/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import struct
+from collections.abc import Iterable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -12,7 +13,7 @@
 from ..observe.events import ENTRY_UNREADABLE, Journal
 from ..sidecar.http_client import ConnectionPool, ExchangeError, Response
 from ..sidecar.model import NodeEntry, Policy
-from ..sidecar.policy_tracker import OffsetExpiredError, PolicyRecord, StoreError
+from ..sidecar.policy_tracker import OffsetExpiredError, OperatorRecords, StoreError
 from .operator_config import decode_policy
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -21,6 +22,8 @@
 # Written by operators, read-only for nodes.
 OPERATOR_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
+# The zone's name follows. The key is removed when the evacuation is taken back.
+EVACUATION_KEY_PREFIX = "evacuate/"
 # Written by nodes. The store never deletes the newest record of a key.
 NODES_TOPIC = "keyed.primroseglade-nodes"
 DRAINS_TOPIC = "keyed.primroseglade-drains"
@@ -72,8 +75,8 @@
         """
         return decode_policy(record)
 
-    async def read_newest(self, timeout: float) -> PolicyRecord:
-        """Return the operator's newest configuration.
+    async def read_newest(self, timeout: float) -> OperatorRecords:
+        """Return the operator's newest configuration and all evacuations in force.
 
         Args:
             timeout: Seconds to wait for a response.
@@ -82,15 +85,13 @@
             StoreError: The store gave no valid response.
         """
         newest = await self._read_newest_items(OPERATOR_TOPIC, timeout)
-        for item in newest.items:
-            if item.key == CONFIG_KEY:
-                return PolicyRecord(item.value, newest.next_offset)
-        return PolicyRecord(None, newest.next_offset)
+        records = [(item.key, item.value) for item in newest.items]
+        return read_operator_records(records, newest.next_offset)
 
     async def read_since(
         self, offset: int, wait: float, timeout: float
-    ) -> PolicyRecord | None:
-        """Return the newest configuration since an offset, or None if there is none.
+    ) -> OperatorRecords | None:
+        """Return what the operator wrote since an offset, or None if nothing.
 
         Args:
             offset: Offset of the first record to read.
@@ -121,12 +122,7 @@
         records = split_records(data[READ_HEAD.size :])
         if not records:
             return None
-        newest: bytes | None = None
-        for record in records:
-            key, value = split_key(record)
-            if key == CONFIG_KEY and value:
-                newest = value
-        return PolicyRecord(newest, offset + len(records))
+        return read_operator_records(map(split_key, records), offset + len(records))
 
     async def list_nodes(self, timeout: float) -> list[NodeEntry]:
         """Return the entries of all registered nodes.
@@ -233,6 +229,27 @@
         return response
 
 
+def read_operator_records(
+    records: Iterable[tuple[str, bytes]], next_offset: int
+) -> OperatorRecords:
+    """Return what keys and values of the operator's topic say, the oldest first.
+
+    A key without a value was removed.
+
+    >>> records = [("config", b"{}"), ("evacuate/a", b"{}"), ("evacuate/b", b"")]
+    >>> read_operator_records(records, 3).evacuations
+    {'a': True, 'b': False}
+    """
+    policy: bytes | None = None
+    evacuations: dict[str, bool] = {}
+    for key, value in records:
+        if key == CONFIG_KEY and value:
+            policy = value
+        elif key.startswith(EVACUATION_KEY_PREFIX):
+            evacuations[key.removeprefix(EVACUATION_KEY_PREFIX)] = bool(value)
+    return OperatorRecords(policy, evacuations, next_offset)
+
+
 def split_records(data: bytes) -> list[bytes]:
     """Return the complete records in the data of a read; the last may be truncated.
 
--- a/primroseglade/platform/values.py
+++ b/primroseglade/platform/values.py
@@ -69,6 +69,10 @@
             self._source, name, "must be a duration", "such as 1500ms or 2.5s"
         )
 
+    def get_strings(self) -> dict[str, str]:
+        """Return all fields, which must be strings."""
+        return {name: self.get_string(name) for name in self._value}
+
     def get_object(self, name: str) -> "Fields":
         """Return a nested object."""
         return Fields(self._value.get(name), f"{self._source}/{name}")
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -40,6 +40,7 @@
 # Maximum delay of a status report. The first report of a backend server may arrive this
 # long after a request to drain it.
 MAX_REPORT_DELAY_SECONDS = 10.0
+EVACUATED_DETAIL = "the backend server's zone is evacuated"
 
 
 class ParsedAnswerHead:
@@ -143,6 +144,7 @@
         self._unavailable = False
         self._node_stopping = False
         self._enabled = False
+        self._evacuated = False
         self._failure_ratio = 0.0
         self.pool = ConnectionPool(address, CONNECT_TIMEOUT_SECONDS, self.assume_cold)
         self.warm_up = warm_up
@@ -159,6 +161,7 @@
         if (
             self._report is None
             or not self._enabled
+            or self._evacuated
             or self._draining
             or self._unavailable
             or self._node_stopping
@@ -230,6 +233,20 @@
         else:
             self.assume_cold()
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Accept no calls while the zone is evacuated, and few calls at first after it.
+
+        Args:
+            evacuated: Whether the zone is evacuated now.
+        """
+        if evacuated == self._evacuated:
+            return
+        self._evacuated = evacuated
+        if evacuated:
+            self.queue.refuse_queued_calls(Reason.ZONE_EVACUATED, EVACUATED_DETAIL)
+        else:
+            self.assume_cold()
+
     def stop(self) -> None:
         """Accept no further calls, because this node is stopping."""
         self._node_stopping = True
@@ -453,6 +470,8 @@
 
     def _check_instance(self, call: Call) -> None:
         """Refuse a call for another instance, or any call if none is accepted."""
+        if self._evacuated:
+            raise not_run(Reason.ZONE_EVACUATED, EVACUATED_DETAIL)
         if not self.instance:
             raise not_run(Reason.DRAINING, "the backend server accepts no calls")
         if call.instance != self.instance:
@@ -476,6 +495,8 @@
                 self._mark_unavailable()
             raise not_run(Reason.CONNECTION_LOST, error.detail) from error
         try:
+            # The zone may have been evacuated while the connection was opened.
+            self._check_instance(call)
             remaining = deadline - time.monotonic()
             _check_remaining_time(remaining)
             request = self._dialect.finish_request(call, remaining)
--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -214,6 +214,14 @@
         finally:
             timer.cancel()
 
+    def refuse_queued_calls(self, reason: Reason, detail: str) -> None:
+        """Refuse all queued calls as not run, so that they are sent elsewhere."""
+        waiters, self._waiters = self._waiters, []
+        for _, _, _, waiter in waiters:
+            if not waiter.done():
+                self._queued -= 1
+                waiter.set_exception(not_run(reason, detail))
+
     def release(self, slot: int, seconds: float, completed: bool = True) -> None:
         """Release a slot and record the service time of its call.
 
--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -20,6 +20,7 @@
 from .node_metrics import NodeMetrics
 from .retry_budget import RetryBudget
 from .zone_costs import ZoneCosts
+from .zone_rules import ZoneRules
 
 # Maximum number of nodes tried for a call that has reached no backend server. Under
 # overload all nodes refuse, and trying all of them would cost more than serving the
@@ -181,6 +182,7 @@
         graph: Provides the downstream calls that a retry makes again.
         zone_costs: Provides the cost of a call's downstream calls in each zone.
         answer_sizes: Provides the average answer size of each route.
+        zone_rules: Provides the zones in which a call may run.
         journal: Logs retries.
         node_metrics: Counts retries.
     """
@@ -194,6 +196,7 @@
         graph: CallGraph,
         zone_costs: ZoneCosts,
         answer_sizes: AnswerSizes,
+        zone_rules: ZoneRules,
         journal: Journal,
         node_metrics: NodeMetrics,
     ):
@@ -206,6 +209,7 @@
         self._node_metrics = node_metrics
         self._zone_costs = zone_costs
         self._answer_sizes = answer_sizes
+        self._zone_rules = zone_rules
 
     async def dispatch(self, call: OutgoingCall) -> Outcome:
         """Send a call, retry it where that is allowed, and return its outcome.
@@ -315,8 +319,11 @@
         downstream_ms_by_zone = self._zone_costs.get_downstream_costs(
             call.route.name, call.service
         )
+        allowed_zones = self._zone_rules.get_allowed_zones()
         local_candidate: Candidate | None = None
-        if self._backend.service == call.service:
+        if self._backend.service == call.service and (
+            allowed_zones is None or self._fleet.zone in allowed_zones
+        ):
             local_candidate = self._backend.build_candidate(self._node)
             if local_candidate is not None:
                 local_candidate.downstream_cost_ms = downstream_ms_by_zone.get(
@@ -333,6 +340,7 @@
             compute_cross_zone_surcharge_ms(latency_tolerance, size_bytes),
             compute_failure_cost_ms(latency_target),
             downstream_ms_by_zone,
+            allowed_zones,
         )
 
     async def _send(self, call: OutgoingCall, candidate: Candidate) -> Outcome:
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -179,6 +179,7 @@
         cross_zone_surcharge_ms: float,
         failure_cost_ms: float,
         downstream_costs_ms: ZoneCostsMs,
+        allowed_zones: Collection[str] | None = None,
     ) -> Candidate | None:
         """Return the node for the next attempt of a call, or None if no node is left.
 
@@ -191,6 +192,7 @@
             failure_cost_ms: Cost of a failed call.
             downstream_costs_ms: Cost in milliseconds of the further calls that the call
                 makes, by the zone in which it is served.
+            allowed_zones: Zones in which the call may run; None for all.
         """
         service_peers = self.index.get_service_peers(service)
         same_zone_candidates = self._sample(
@@ -198,6 +200,7 @@
             SAME_ZONE_SAMPLE_SIZE,
             tried_names,
             downstream_costs_ms,
+            allowed_zones,
         )
         if own_candidate is not None and own_candidate.name not in tried_names:
             same_zone_candidates.append(own_candidate)
@@ -209,6 +212,7 @@
                 CROSS_ZONE_SAMPLE_SIZE,
                 tried_names,
                 downstream_costs_ms,
+                allowed_zones,
             ),
             cross_zone_surcharge_ms,
             min_downstream_cost_ms,
@@ -216,7 +220,7 @@
             self._rng,
         )
         return chosen or self._find_suspect_peer(
-            service_peers, tried_names, downstream_costs_ms
+            service_peers, tried_names, downstream_costs_ms, allowed_zones
         )
 
     def _find_suspect_peer(
@@ -224,10 +228,15 @@
         service_peers: ServicePeers,
         tried_names: Collection[str],
         downstream_costs_ms: ZoneCostsMs,
+        allowed_zones: Collection[str] | None,
     ) -> Candidate | None:
         """Return a suspect node not yet tried, for calls with no other node left."""
         for peer in service_peers.same_zone_peers + service_peers.cross_zone_peers:
-            if peer.usable and peer.entry.name not in tried_names:
+            if (
+                peer.usable
+                and peer.entry.name not in tried_names
+                and (allowed_zones is None or peer.entry.zone in allowed_zones)
+            ):
                 return self._build_candidate(peer, downstream_costs_ms)
         return None
 
@@ -237,6 +246,7 @@
         max_candidates: int,
         tried_names: Collection[str],
         downstream_costs_ms: ZoneCostsMs,
+        allowed_zones: Collection[str] | None,
     ) -> list[Candidate]:
         """Return up to ``max_candidates`` usable nodes, beginning at a random one."""
         candidates: list[Candidate] = []
@@ -246,6 +256,8 @@
         for peer in peers:
             if not peer.usable or peer.entry.name in tried_names or peer.is_suspect:
                 continue
+            if allowed_zones is not None and peer.entry.zone not in allowed_zones:
+                continue
             candidates.append(self._build_candidate(peer, downstream_costs_ms))
             if len(candidates) == max_candidates:
                 break
--- a/primroseglade/sidecar/frames.py
+++ b/primroseglade/sidecar/frames.py
@@ -60,12 +60,17 @@
         policy_age_ms: Milliseconds from when that version was last known to be the
             newest until the answer.
         clock_ms: When the answer was sent, in milliseconds on the sender's clock.
+        evacuated_zones: Availability zones that the operator has evacuated.
+        operator_offset: Offset up to which ``evacuated_zones`` includes the operator's
+            records in the platform's store.
     """
 
     id: int
     policy_version: int
     policy_age_ms: int
     clock_ms: int = 0
+    evacuated_zones: tuple[str, ...] = ()
+    operator_offset: int = 0
 
 
 class State(msgspec.Struct, array_like=True, tag=12):
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -333,6 +333,9 @@
         start_rate: Calls per second that may start at the backend server while it is
             cold; 0 if starts are not limited.
         cold_ms: Milliseconds for which the backend server stays cold.
+        evacuated_zones: Availability zones that the operator has evacuated.
+        operator_offset: Offset up to which ``evacuated_zones`` includes the operator's
+            records in the platform's store.
     """
 
     instance: str = ""
@@ -348,6 +351,8 @@
     slot_ms: float = 0.0
     start_rate: float = 0.0
     cold_ms: int = 0
+    evacuated_zones: tuple[str, ...] = ()
+    operator_offset: int = 0
 
     def copy(self) -> "NodeState":
         """Return a shallow copy, to be modified independently."""
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Protocol
 
 from ..observe.events import (
@@ -27,6 +27,7 @@
 )
 from .deadlines import Deadlines
 from .dispatch import Dispatcher
+from .evacuations import Evacuations
 from .fleet import Fleet
 from .frames import PolicyAnswer, TokenGrant, TokenRequest
 from .health_check import HealthChecker, HealthDialect
@@ -44,7 +45,7 @@
 from .peer_monitor import PeerMonitor, READER_POLL_SECONDS
 from .peer_server import PeerServer
 from .periodic_scheduler import PeriodicScheduler
-from .policy_tracker import PolicyTracker, StoreError
+from .policy_tracker import PolicyTracker, STORE_SOURCE, StoreError
 from .rate_control import RateControl
 from .rate_monitor import RATE_LOG_INTERVAL_SECONDS
 from .rate_tolerance import RateTolerance
@@ -54,6 +55,7 @@
 from .state_broadcast import BROADCAST_SECONDS, StateBroadcaster
 from .warm_up import WarmUp
 from .zone_costs import ZoneCosts
+from .zone_rules import ZoneRules
 
 STORE_RETRY_SECONDS = 0.5
 STORE_TIMEOUT_SECONDS = 1.5
@@ -114,8 +116,12 @@
             int(time.time() * 1000),
         )
         self._supervisor = Supervisor("node", journal)
+        self.evacuations = Evacuations(
+            settings.zones, journal, self._handle_evacuations
+        )
         self.policies = PolicyTracker(
             store,
+            self.evacuations,
             settings.revoke,
             settings.config_apply,
             settings.first_start,
@@ -185,6 +191,7 @@
             self.graph,
             self.zone_costs,
             self.answer_sizes,
+            ZoneRules(settings.zones, self.evacuations),
             journal,
             self.node_metrics,
         )
@@ -337,6 +344,18 @@
             request_id, self.policies.version, age_ms, self.policies.encoded_policy
         )
 
+    def record_evacuations(
+        self, zones: Collection[str], offset: int, peer: str
+    ) -> None:
+        """Record which zones are evacuated, according to a peer.
+
+        Args:
+            zones: The evacuated zones.
+            offset: Offset up to which the operator's records are included.
+            peer: Name of the peer.
+        """
+        self.evacuations.replace(zones, offset, peer)
+
     def record_drain(self, instance: str, start_time_ms: int) -> None:
         """Record that another node's backend server is draining."""
         self.registration.record_drain(instance, start_time_ms)
@@ -514,6 +533,8 @@
             slot_ms=backend.slot_ms,
             start_rate=backend.warm_up.start_rate,
             cold_ms=int(backend.warm_up.remaining_seconds * 1000),
+            evacuated_zones=tuple(self.evacuations.zones),
+            operator_offset=self.evacuations.offset,
         )
 
     def _estimate_cross_zone_surcharge_ms(self, name: str) -> float:
@@ -526,6 +547,11 @@
     def _report_stall(self, recently_stalled: bool) -> None:
         self._outbound_server.recently_stalled = recently_stalled
 
+    def _handle_evacuations(self, source: str) -> None:
+        self.backend.set_evacuated(self._entry.zone in self.evacuations.zones)
+        if source == STORE_SOURCE:
+            self._broadcast_state()
+
     def _start_health_checks(self) -> None:
         self._supervisor.start_once("health check", self._health_checker.run)
 
--- a/primroseglade/sidecar/node_settings.py
+++ b/primroseglade/sidecar/node_settings.py
@@ -9,6 +9,7 @@
     Args:
         name: Unique name of the node.
         zone: Availability zone of the node.
+        zones: Region of each availability zone, by zone.
         service: Service that the backend server provides.
         backend: Address of the backend server.
         host: IP address of the node.
@@ -54,12 +55,14 @@
         "revoke",
         "service",
         "zone",
+        "zones",
     )
 
     def __init__(
         self,
         name: str,
         zone: str,
+        zones: dict[str, str],
         service: str,
         backend: str,
         host: str,
@@ -82,6 +85,7 @@
     ):
         self.name = name
         self.zone = zone
+        self.zones = zones
         self.service = service
         self.backend = backend
         self.host = host
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Collection
 from typing import Protocol
 
 from ..addresses import parse_address
@@ -98,6 +99,17 @@
             asked_at: When the peer was asked, as returned by ``read_age_clock``.
         """
 
+    def record_evacuations(
+        self, zones: Collection[str], offset: int, peer: str
+    ) -> None:
+        """Record which zones are evacuated, according to a peer.
+
+        Args:
+            zones: The evacuated zones.
+            offset: Offset up to which the operator's records are included.
+            peer: Name of the peer.
+        """
+
     def handle_peer_clock_known(self) -> None:
         """Handle that a peer's clock has become known on a new stream.
 
@@ -211,6 +223,9 @@
         self._cold_until = time.monotonic() + state.cold_ms / 1000
         self.record_in_flight(state.in_flight)
         self.failure_ratio = state.failure_ratio
+        self._host.record_evacuations(
+            state.evacuated_zones, state.operator_offset, self.entry.name
+        )
         self._host.handle_state(self)
         return True
 
@@ -456,6 +471,9 @@
         self._remote_clock.record(pong.clock_ms / 1000, now)
         if not was_clock_known:
             self._host.handle_peer_clock_known()
+        self._host.record_evacuations(
+            pong.evacuated_zones, pong.operator_offset, self.entry.name
+        )
         age_seconds = pong.policy_age_ms / 1000
         self._host.record_policy_age(
             pong.policy_version, age_seconds, self._ping_sent_on_age_clock
--- a/primroseglade/sidecar/peer_server.py
+++ b/primroseglade/sidecar/peer_server.py
@@ -11,6 +11,7 @@
 from .clock import read_age_clock
 from .cross_zone_bytes import CrossZoneBytes
 from .dispatch import Dispatcher
+from .evacuations import Evacuations
 from .frames import (
     Call,
     CallAnswer,
@@ -52,6 +53,10 @@
     def backend_calls_in_flight(self) -> int:
         """Calls running and queued at the backend server."""
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The availability zones that operators have evacuated."""
+
     def build_full_state(self) -> NodeState:
         """Return this node's full state, as sent first on a stream."""
 
@@ -215,7 +220,17 @@
             self._host.record_lease(lender, ping.lease_end_ms)
         answer = self._host.build_policy_answer(ping.id)
         clock_ms = int(read_age_clock() * 1000)
-        stream.send(Pong(ping.id, answer.version, answer.age_ms, clock_ms))
+        evacuations = self._host.evacuations
+        stream.send(
+            Pong(
+                ping.id,
+                answer.version,
+                answer.age_ms,
+                clock_ms,
+                tuple(evacuations.zones),
+                evacuations.offset,
+            )
+        )
 
     async def _serve(self, stream: FrameStream, call: Call) -> None:
         try:
--- a/primroseglade/sidecar/policy_tracker.py
+++ b/primroseglade/sidecar/policy_tracker.py
@@ -22,6 +22,7 @@
     POLICY_IN_FORCE,
     VALUE_IGNORED,
 )
+from .evacuations import Evacuations
 from .freshness import Freshness
 from .model import CallerLimits, Policy, ServiceOptions
 from .peer import Peer
@@ -59,26 +60,30 @@
     """The offset lies outside the records that the store keeps."""
 
 
-class PolicyRecord:
-    """Holds a policy as stored, and the offset of the next record in the store.
+class OperatorRecords:
+    """What a read of the operator's records in the store shows.
 
     Args:
-        record: The encoded policy; None if the store holds none.
+        policy: The newest policy, encoded; None if the records hold none.
+        evacuations: For each zone that the records name, whether it is evacuated.
         next_offset: Offset at which the next read starts.
     """
 
-    __slots__ = ("next_offset", "record")
+    __slots__ = ("evacuations", "next_offset", "policy")
 
-    def __init__(self, record: bytes | None, next_offset: int):
-        self.record = record
+    def __init__(
+        self, policy: bytes | None, evacuations: dict[str, bool], next_offset: int
+    ):
+        self.policy = policy
+        self.evacuations = evacuations
         self.next_offset = next_offset
 
 
 class PolicyStore(Protocol):
-    """Reads the policies that operators publish in the platform's store."""
+    """Reads the records that operators publish in the platform's store."""
 
-    async def read_newest(self, timeout: float) -> PolicyRecord:
-        """Return the newest policy.
+    async def read_newest(self, timeout: float) -> OperatorRecords:
+        """Return the newest policy, and all evacuations in force.
 
         Raises:
             StoreError: The store failed or sent an unusable response.
@@ -86,8 +91,8 @@
 
     async def read_since(
         self, offset: int, wait: float, timeout: float
-    ) -> PolicyRecord | None:
-        """Return the newest policy published at or after an offset, or None.
+    ) -> OperatorRecords | None:
+        """Return what was published at or after an offset, or None if nothing was.
 
         Args:
             offset: The offset to read from.
@@ -112,6 +117,7 @@
 
     Args:
         store: Where operators publish policies.
+        evacuations: Receives the evacuations that operators publish.
         revoke_seconds: Seconds within which a withdrawn key must stop working.
         apply_seconds: Seconds within which a published policy must be active.
         first_start: Whether the whole fleet starts for the first time.
@@ -123,6 +129,7 @@
     def __init__(
         self,
         store: PolicyStore,
+        evacuations: Evacuations,
         revoke_seconds: float,
         apply_seconds: float,
         first_start: bool,
@@ -131,6 +138,7 @@
         on_first_policy: Callable[[], None],
     ):
         self._store = store
+        self._evacuations = evacuations
         self._max_age_seconds = revoke_seconds * MAX_AGE_RATIO
         self._first_start = first_start
         self._journal = journal
@@ -277,9 +285,10 @@
     async def _read_newest(self, asked_at: float) -> None:
         newest = await self._store.read_newest(READ_TIMEOUT_SECONDS)
         self._next_offset = newest.next_offset
+        self._evacuations.replace(newest.evacuations, newest.next_offset, STORE_SOURCE)
         self._apply_update(newest, asked_at)
 
-    async def _read_since(self, wait: float, timeout: float) -> PolicyRecord | None:
+    async def _read_since(self, wait: float, timeout: float) -> OperatorRecords | None:
         assert self._next_offset is not None
         try:
             return await self._store.read_since(self._next_offset, wait, timeout)
@@ -351,11 +360,14 @@
         if update is not None:
             self._apply_update(update, asked_at)
 
-    def _apply_update(self, update: PolicyRecord | None, asked_at: float) -> None:
+    def _apply_update(self, update: OperatorRecords | None, asked_at: float) -> None:
         if update is not None:
             self._next_offset = max(self._next_offset or 0, update.next_offset)
-            if update.record is not None:
-                self._apply_record(update.record, asked_at, 0.0, STORE_SOURCE)
+            self._evacuations.apply_changes(
+                update.evacuations, update.next_offset, STORE_SOURCE
+            )
+            if update.policy is not None:
+                self._apply_record(update.policy, asked_at, 0.0, STORE_SOURCE)
                 return
         if self._policy is not None:
             self._freshness.confirm(asked_at)
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -97,6 +97,7 @@
     fields: dict[str, Any] = {
         "name": name,
         "zone": "a",
+        "zones": {"a": "r", "b": "r", "c": "s"},
         "service": service,
         "backend": find_address(),
         "host": "127.0.0.1",
