Run calls only in the regions allowed for their route and workspace

Change: the adapter decodes them, zone_rules.py combines those of the route and of the workspace with the evacuations, and entries choose nodes only there, at the first attempt and at each further one. A body is sent to no other node. With no backend server in reach there, a call is refused as not run (region-unavailable).

--- a/primroseglade/platform/operator_config.py
+++ b/primroseglade/platform/operator_config.py
@@ -109,6 +109,7 @@
             priority,
             tenant_fields.get_number("rate_per_s", 0),
             tenant_fields.get_number("burst", 0),
+            _decode_regions(tenant_fields),
         )
         for key in tenant_fields.get_list("api_keys"):
             if not isinstance(key, str):
@@ -145,9 +146,18 @@
         fields.get_integer("priority", LOWEST_PRIORITY),
         fields.get_integer("max_attempts", 1),
         fields.get_boolean("public"),
+        _decode_regions(fields),
     )
 
 
+def _decode_regions(fields: Fields) -> frozenset[str]:
+    regions = fields.get_list("allowed_regions")
+    if not all(isinstance(region, str) for region in regions):
+        detail = "must be a list of strings"
+        raise InputError(ERROR_SOURCE, "allowed_regions", detail)
+    return frozenset(regions)
+
+
 def _decode_split(fields: Fields) -> list[WeightedService]:
     if not fields.has("traffic_split"):
         return [WeightedService(fields.get_string("service"), 1.0)]
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -227,6 +227,8 @@
 
         Before, it is unknown how many calls a cold backend server tolerates.
         """
+        if self._enabled:
+            return
         self._enabled = True
         if self.warm_up.start_rate:
             self._log_cold()
--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -46,6 +46,7 @@
         nested: Whether the local backend server makes the call.
         deadline: Time on the loop's clock at which the call is canceled.
         latency_target_at: Time on the loop's clock after which the answer is late.
+        tenant: Workspace of the call; empty if the local backend server makes it.
         sent: Whether the call was sent to a node, this one included.
         node: Name of the node that it was sent to last; empty before.
     """
@@ -61,6 +62,7 @@
         "route",
         "sent",
         "service",
+        "tenant",
     )
 
     def __init__(
@@ -73,6 +75,7 @@
         nested: bool,
         deadline: float,
         latency_target_at: float,
+        tenant: str = "",
     ):
         self.route = route
         self.service = service
@@ -82,6 +85,7 @@
         self.nested = nested
         self.deadline = deadline
         self.latency_target_at = latency_target_at
+        self.tenant = tenant
         self.sent = False
         self.node = ""
 
@@ -222,10 +226,7 @@
         while True:
             candidate = await self._find_candidate(call, attempts)
             if candidate is None:
-                detail = f"no backend server of {call.service} takes calls"
-                return attempts.get_final_outcome(
-                    Refusal(Reason.NO_BACKEND_SERVER, detail=detail)
-                )
+                return attempts.get_final_outcome(self._build_refusal(call))
             outcome = await self._attempt(call, candidate, attempts)
             if outcome is not None:
                 return outcome
@@ -234,6 +235,14 @@
             if attempts.last_reached_backend:
                 self._log_retry(call, candidate, attempts)
 
+    def _build_refusal(self, call: OutgoingCall) -> Refusal:
+        """Return the refusal of a call for which there is no node."""
+        detail = f"no backend server of {call.service} takes calls"
+        if self._zone_rules.is_restricted(call.route, call.tenant):
+            detail += " in the regions allowed for the route and the workspace"
+            return Refusal(Reason.REGION_UNAVAILABLE, detail=detail)
+        return Refusal(Reason.NO_BACKEND_SERVER, detail=detail)
+
     async def _find_candidate(
         self, call: OutgoingCall, attempts: "Attempts"
     ) -> Candidate | None:
@@ -319,7 +328,7 @@
         downstream_ms_by_zone = self._zone_costs.get_downstream_costs(
             call.route.name, call.service
         )
-        allowed_zones = self._zone_rules.get_allowed_zones()
+        allowed_zones = self._zone_rules.get_allowed_zones(call.route, call.tenant)
         local_candidate: Candidate | None = None
         if self._backend.service == call.service and (
             allowed_zones is None or self._fleet.zone in allowed_zones
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -45,6 +45,7 @@
         priority: 0 is the most urgent.
         max_attempts: Maximum number of backend servers that one call is sent to.
         public: Whether calls need no API key.
+        regions: Regions in which calls may run; empty for all.
     """
 
     __slots__ = (
@@ -55,6 +56,7 @@
         "prefix",
         "priority",
         "public",
+        "regions",
         "services",
         "target_latency",
         "timeout",
@@ -72,6 +74,7 @@
         priority: int,
         max_attempts: int,
         public: bool,
+        regions: frozenset[str] = frozenset(),
     ):
         self.name = name
         self.host = host
@@ -83,6 +86,7 @@
         self.priority = priority
         self.max_attempts = max_attempts
         self.public = public
+        self.regions = regions
 
     @property
     def idempotent(self) -> bool:
@@ -103,15 +107,24 @@
         priority: Priority of its calls, compared before the route's; None if not set.
         rate: Calls per second over the whole fleet; 0 for no limit.
         burst: Capacity of its token bucket, in calls.
+        regions: Regions in which its calls may run; empty for all.
     """
 
-    __slots__ = ("burst", "name", "priority", "rate")
+    __slots__ = ("burst", "name", "priority", "rate", "regions")
 
-    def __init__(self, name: str, priority: int | None, rate: float, burst: float):
+    def __init__(
+        self,
+        name: str,
+        priority: int | None,
+        rate: float,
+        burst: float,
+        regions: frozenset[str] = frozenset(),
+    ):
         self.name = name
         self.priority = priority
         self.rate = rate
         self.burst = burst
+        self.regions = regions
 
     def has_higher_rate_than(self, other: "Tenant") -> bool:
         """Return whether the rate limit is higher than in another version.
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -37,6 +37,7 @@
 from .model import (
     NodeEntry,
     NodeState,
+    Policy,
 )
 from .node_metrics import build_metrics_handler, MAX_REPORTED_AGE_SECONDS, NodeMetrics
 from .node_settings import NodeSettings
@@ -127,7 +128,7 @@
             settings.first_start,
             journal,
             self._broadcast_state,
-            lambda: self.backend.enable(),
+            self._handle_policy,
         )
         self.call_ratios = CallRatioEstimator()
         self.backend = Backend(
@@ -183,6 +184,7 @@
         self.retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_fixed, settings.retry_window
         )
+        self._zone_rules = ZoneRules(settings.zones, self.evacuations, journal)
         self.dispatcher = Dispatcher(
             settings.name,
             self.backend,
@@ -191,7 +193,7 @@
             self.graph,
             self.zone_costs,
             self.answer_sizes,
-            ZoneRules(settings.zones, self.evacuations),
+            self._zone_rules,
             journal,
             self.node_metrics,
         )
@@ -547,6 +549,10 @@
     def _report_stall(self, recently_stalled: bool) -> None:
         self._outbound_server.recently_stalled = recently_stalled
 
+    def _handle_policy(self, policy: Policy) -> None:
+        self._zone_rules.apply_policy(policy)
+        self.backend.enable()
+
     def _handle_evacuations(self, source: str) -> None:
         self.backend.set_evacuated(self._entry.zone in self.evacuations.zones)
         if source == STORE_SOURCE:
--- a/primroseglade/sidecar/policy_tracker.py
+++ b/primroseglade/sidecar/policy_tracker.py
@@ -123,7 +123,7 @@
         first_start: Whether the whole fleet starts for the first time.
         journal: Receives events.
         broadcast_state: Broadcasts this node's state, with the policy version, at once.
-        on_first_policy: Called when the first policy is in force.
+        on_policy: Called with each policy that comes into force.
     """
 
     def __init__(
@@ -135,7 +135,7 @@
         first_start: bool,
         journal: Journal,
         broadcast_state: Callable[[], None],
-        on_first_policy: Callable[[], None],
+        on_policy: Callable[[Policy], None],
     ):
         self._store = store
         self._evacuations = evacuations
@@ -143,7 +143,7 @@
         self._first_start = first_start
         self._journal = journal
         self._broadcast_state = broadcast_state
-        self._on_first_policy = on_first_policy
+        self._on_policy = on_policy
         self._freshness = Freshness()
         self._policy: Policy | None = None
         self._active_since = 0.0
@@ -384,7 +384,6 @@
             if policy.version == self.version:
                 self._freshness.confirm(asked_at, age_seconds)
             return
-        is_first_policy = self._policy is None
         self._policy = policy
         self._active_since = time.monotonic()
         self._encoded_policy = record
@@ -398,8 +397,7 @@
             routes=len(policy.routes),
             keys=len(policy.tenants or ()),
         )
-        if is_first_policy:
-            self._on_first_policy()
+        self._on_policy(policy)
         if source == STORE_SOURCE:
             self._broadcast_state()
 
--- a/primroseglade/sidecar/request_handler.py
+++ b/primroseglade/sidecar/request_handler.py
@@ -221,6 +221,7 @@
             nested,
             deadline,
             request.arrived_at + route.target_latency,
+            tenant.name if tenant is not None else "",
         )
 
     async def _dispatch_call(
--- a/primroseglade/verdicts.py
+++ b/primroseglade/verdicts.py
@@ -36,6 +36,7 @@
     CONFIGURATION_MISSING = ("configuration-missing", 503)
     CONFIGURATION_STALE = ("configuration-stale", 503)
     DRAINING = ("draining", 503)
+    REGION_UNAVAILABLE = ("region-unavailable", 503)
     ZONE_EVACUATED = ("zone-evacuated", 503)
     BACKEND_COLD = ("backend-cold", 503)
     NO_BACKEND_SERVER = ("no-backend-server", 503)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -2,9 +2,11 @@
 
 from primroseglade.observe.events import EVACUATION_STARTED, Journal, VALUE_IGNORED
 from primroseglade.sidecar.evacuations import Evacuations
+from primroseglade.sidecar.model import Route, RouteKind
 from primroseglade.sidecar.zone_rules import ZoneRules
 
 ZONES = ("a", "b", "c")
+ROUTE = Route("deep", "h", "/", RouteKind.SAFE, [], 1, 1, 0, 1, False)
 
 
 def build_evacuations() -> tuple[Evacuations, Journal, list[str]]:
@@ -54,9 +56,9 @@
 def test_all_zones_may_be_evacuated():
     """With nowhere left to run, calls are refused rather than sent to a zone."""
     evacuations, _, _ = build_evacuations()
-    rules = ZoneRules(ZONES, evacuations)
-    assert rules.get_allowed_zones() is None
+    rules = ZoneRules(dict.fromkeys(ZONES, "r"), evacuations, Journal("n-1", "error"))
+    assert rules.get_allowed_zones(ROUTE, "north") is None
     evacuations.replace(["b"], 1, "store")
-    assert rules.get_allowed_zones() == {"a", "c"}
+    assert rules.get_allowed_zones(ROUTE, "north") == {"a", "c"}
     evacuations.replace(ZONES, 2, "store")
-    assert rules.get_allowed_zones() == frozenset()
+    assert rules.get_allowed_zones(ROUTE, "north") == frozenset()
