--- a/primroseglade/observe/explain.py
+++ b/primroseglade/observe/explain.py
@@ -11,10 +11,13 @@
 
 from .events import (
     ADMISSION_LEVELS,
+    BACKEND_COLD,
     CALL_ANSWERED,
     CALL_FAILED,
     CALL_REFUSED,
     CALL_RETRIED,
+    EVACUATION_ENDED,
+    EVACUATION_STARTED,
     EVENT_CATALOG,
     LINES_DROPPED,
     PEER_LOST,
@@ -24,6 +27,8 @@
 # Admission levels are logged once a second during an overload; two seconds allow for a
 # late line.
 CONTEXT_WINDOW_SECONDS = 2.0
+# Clocks of instances differ, and a warm-up is logged at its start only.
+WARM_UP_WINDOW_SECONDS = 10.0
 # Events that name a request, in the order in which they occur.
 EVENT_ORDER = (
     CALL_RETRIED.number,
@@ -171,6 +176,53 @@
     return [nearest], text
 
 
+@_finds_cause_of(CALL_REFUSED.number, "backend-cold")
+def _explain_cold(last: LogLine, nearby: list[LogLine], lines: list[LogLine]) -> Cause:
+    cold_lines = [
+        line
+        for line in lines
+        if line.number == BACKEND_COLD.number
+        and abs(line.time - last.time) <= WARM_UP_WINDOW_SECONDS
+    ]
+    text = (
+        "Backend servers that the request needs were cold, so that few calls could "
+        f"start there: {last.get('detail')}"
+    )
+    if cold_lines:
+        instances = ", ".join(sorted({line.instance for line in cold_lines}))
+        text += f". Cold at about that time: those beside {instances}"
+    return cold_lines, f"{text}. The request did not run."
+
+
+@_finds_cause_of(CALL_REFUSED.number, "zone-evacuated", "no-backend-server")
+def _explain_evacuation(
+    last: LogLine, nearby: list[LogLine], lines: list[LogLine]
+) -> Cause:
+    started_lines: dict[str, LogLine] = {}
+    for line in lines:
+        if line.instance != last.instance or line.time > last.time:
+            continue
+        zone = str(line.get("zone"))
+        if line.number == EVACUATION_STARTED.number:
+            started_lines[zone] = line
+        elif line.number == EVACUATION_ENDED.number:
+            started_lines.pop(zone, None)
+    text = f"No backend server was left for the request: {last.get('detail')}"
+    if started_lines:
+        zones = ", ".join(sorted(started_lines))
+        text += f"; operators had evacuated {zones}"
+    return list(started_lines.values()), f"{text}. The request did not run."
+
+
+@_finds_cause_of(CALL_REFUSED.number, "region-unavailable")
+def _explain_region(
+    last: LogLine, nearby: list[LogLine], lines: list[LogLine]
+) -> Cause:
+    version = last.get("policy", 0)
+    text = f"Version {version} of the configuration restricts where the request may run"
+    return _find_policy_start(last, version, lines), f"{text}: {last.get('detail')}."
+
+
 @_finds_cause_of(CALL_REFUSED.number, "rate-exceeded")
 def _explain_rate(last: LogLine, nearby: list[LogLine], lines: list[LogLine]) -> Cause:
     version = last.get("policy", 0)
--- a/primroseglade/sidecar/node_metrics.py
+++ b/primroseglade/sidecar/node_metrics.py
@@ -209,6 +209,16 @@
             "Recent fraction of calls that failed at the backend server.",
             backend.failure_ratio,
         ),
+        (
+            "cold_seconds",
+            "Seconds for which the backend server is still cold, or may be.",
+            backend.warm_up.remaining_seconds,
+        ),
+        (
+            "evacuated_zones",
+            "Availability zones that operators have evacuated.",
+            len(node.evacuations.zones),
+        ),
         ("peers", "Other nodes to which a stream is open.", connected_peers),
         (
             "policy_version",
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -111,6 +111,39 @@
     assert "may have run" in cause
 
 
+def test_cold_refusal_names_the_cold_backend_servers(tmp_path):
+    """After a restart a request is refused at its entry; the logs of other nodes tell
+    whose backend servers are cold.
+    """
+    cold = {"time": 97.0, "event": 326, "instance": "node-7", "seconds": 3.0}
+    former = {"time": 12.0, "event": 326, "instance": "node-3", "seconds": 3.0}
+    line = build_refused_line("backend-cold", detail="a needed service is cold")
+    _, out, _ = run("r1", write_log(tmp_path / "log", former, cold, line))
+    cause = out.splitlines()[-1]
+    assert "Cold at about that time: those beside node-7." in cause
+    assert "did not run" in cause
+
+
+@pytest.mark.parametrize("reason", ["zone-evacuated", "no-backend-server"])
+def test_refusal_during_an_evacuation_names_the_zone(tmp_path, reason: str):
+    """The only backend servers of a service are in a zone that operators evacuated."""
+    events = [
+        {"time": 90.0 + n, "event": event, "instance": "node-1", "zone": zone}
+        for n, (event, zone) in enumerate([(233, "a"), (234, "a"), (233, "b")])
+    ]
+    line = build_refused_line(reason, detail="no backend server takes calls")
+    _, out, _ = run("r1", write_log(tmp_path / "log", *events, line))
+    assert "operators had evacuated b. The" in out.splitlines()[-1]
+
+
+def test_refusal_for_a_region_names_the_version(tmp_path):
+    """The configuration restricts the route to a region without a backend server."""
+    line = build_refused_line("region-unavailable", detail="none in r", policy=4)
+    _, out, _ = run("r1", write_log(tmp_path / "log", line))
+    assert "Version 4" in out.splitlines()[-1]
+    assert "none in r" in out.splitlines()[-1]
+
+
 def test_request_without_line_reports_dropped_lines(tmp_path):
     """Its line may be among those dropped because of the rate limit."""
     dropped = {"time": 1, "event": 590, "instance": "node-1", "counts": {"501": 7}}
