--- a/primroseglade/sidecar/warm_up.py
+++ b/primroseglade/sidecar/warm_up.py
@@ -12,6 +12,9 @@
 
 # The limit holds for any span of this length.
 START_WINDOW_SECONDS = 1.0
+# Starts stay limited this long after the end of the warm-up as it was reported: reports
+# are rounded, and all waiting calls start at that moment.
+WARM_UP_MARGIN_SECONDS = 0.1
 
 
 class WarmUpLimits:
@@ -102,7 +105,9 @@
     def record_cold_time(self, seconds: float) -> None:
         """Record for how long the backend server says that it is still cold."""
         self._is_assumed = False
-        self._cold_until = self._clock() + seconds if seconds > 0 else 0.0
+        self._cold_until = 0.0
+        if seconds > 0:
+            self._cold_until = self._clock() + seconds + WARM_UP_MARGIN_SECONDS
 
     def record_report(self, seconds: float) -> None:
         """Record the cold time in a status report that may have been sent long ago.
