Count a start at a cold backend server when it is sent, not when it gets its slot

In a trial with prints of each sent call up to 14 were sent in a second although at most six got a slot: after a restart new connections take up to a second, and calls of two or three seconds are sent together.

Change: a call that gets a slot reserves its start, which counts until it is sent; the window holds what was sent. So no second has more than the limit, whatever connections take (any two of its calls: the later reservation saw the other one reserved or sent). Health checks count as starts, and are repeated after 0.5 s.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -372,7 +372,7 @@
         try:
             # The backend server may have been drained while the call was queued.
             self._check_instance(call)
-            served = await self._exchange(call, deadline)
+            served = await self._exchange(call, deadline, slot)
             completed = True
             return served
         except asyncio.CancelledError:
@@ -479,7 +479,7 @@
         if call.instance != self.instance:
             raise not_run(Reason.DRAINING, "the backend server was replaced")
 
-    async def _exchange(self, call: Call, deadline: float) -> ServedAnswer:
+    async def _exchange(self, call: Call, deadline: float, slot: int) -> ServedAnswer:
         parsed: ParsedAnswerHead | None = None
 
         def is_answer_to_call(answer: Response) -> bool:
@@ -502,6 +502,7 @@
             remaining = deadline - time.monotonic()
             _check_remaining_time(remaining)
             request = self._dialect.finish_request(call, remaining)
+            self.warm_up.record_start(slot)
             answer = await connection.exchange(
                 request, is_answer_to_call, call.head.startswith(b"HEAD ")
             )
--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -235,6 +235,8 @@
         """
         self._integrate_in_flight(time.monotonic())
         del self._slot_acquired_at[slot]
+        if self._warm_up is not None:
+            self._warm_up.cancel_start(slot)
         self._record_service_time(seconds, completed)
         if slot in self._reclaimed_slots:
             self._reclaimed_slots.discard(slot)
@@ -278,9 +280,9 @@
         self.start_queued_calls()
 
     def _take_slot(self, now: float) -> int:
-        if self._warm_up is not None:
-            self._warm_up.record_start()
         slot = next(self._ids)
+        if self._warm_up is not None:
+            self._warm_up.reserve_start(slot)
         self._slot_acquired_at[slot] = now
         self._running += 1
         return slot
--- a/primroseglade/sidecar/health_check.py
+++ b/primroseglade/sidecar/health_check.py
@@ -12,7 +12,7 @@
 
 # Timeout of one check, and pause before the next if it showed nothing.
 CHECK_TIMEOUT_SECONDS = 0.5
-RETRY_SECONDS = 0.1
+RETRY_SECONDS = 0.5
 
 
 class HealthAnswer:
@@ -49,6 +49,7 @@
         dialect: Renders checks and reads answers.
         get_path: Returns the path of health checks; empty if there is none.
         is_needed: Returns whether it is unknown if the backend server is cold.
+        record_check: Called when a check is sent.
         record_answer: Receives each answer.
     """
 
@@ -59,6 +60,7 @@
         dialect: HealthDialect,
         get_path: Callable[[], str],
         is_needed: Callable[[], bool],
+        record_check: Callable[[], None],
         record_answer: Callable[[HealthAnswer], None],
     ):
         self._address = address
@@ -66,6 +68,7 @@
         self._dialect = dialect
         self._get_path = get_path
         self._is_needed = is_needed
+        self._record_check = record_check
         self._record_answer = record_answer
 
     async def run(self) -> None:
@@ -85,6 +88,7 @@
             async with asyncio.timeout(CHECK_TIMEOUT_SECONDS):
                 connection = await self._pool.acquire()
                 try:
+                    self._record_check()
                     answer = await connection.exchange(request)
                 finally:
                     self._pool.release(connection)
--- a/primroseglade/sidecar/warm_up.py
+++ b/primroseglade/sidecar/warm_up.py
@@ -51,6 +51,7 @@
         "_is_assumed",
         "_overshoot",
         "_recent_starts",
+        "_reserved",
     )
 
     def __init__(
@@ -67,6 +68,8 @@
         # Times of the last starts, the oldest first; as many as the limit allows in one
         # window.
         self._recent_starts: collections.deque[float] = collections.deque()
+        # Slots of calls that may start and have not been sent yet.
+        self._reserved: set[int] = set()
 
     @property
     def remaining_seconds(self) -> float:
@@ -126,8 +129,29 @@
         self._is_assumed = True
         self._cold_until = max(self._cold_until, self._clock() + limits.max_seconds)
 
-    def record_start(self) -> None:
-        """Record that a call starts, whether or not starts are limited now."""
+    def reserve_start(self, slot: int) -> None:
+        """Reserve a start for a call that is sent as soon as it has a connection.
+
+        Until it is sent, it counts towards the limit. Otherwise calls that wait for
+        connections could be sent all at once, together with later ones.
+
+        Args:
+            slot: ID of the call's slot.
+        """
+        self._reserved.add(slot)
+
+    def cancel_start(self, slot: int) -> None:
+        """Cancel the reservation of a call that was not sent, if there is one."""
+        self._reserved.discard(slot)
+
+    def record_start(self, slot: int | None = None) -> None:
+        """Record that a request is sent, whether or not starts are limited now.
+
+        Args:
+            slot: ID of the call's slot, whose reservation ends; None without one.
+        """
+        if slot is not None:
+            self._reserved.discard(slot)
         limit = self._start_limit
         if not limit:
             return
@@ -138,6 +162,8 @@
     def get_start_delay(self, calls_ahead: int = 0) -> float:
         """Return the seconds until a call may start; 0 if it may start now.
 
+        Reserved starts count as if they were sent now.
+
         Args:
             calls_ahead: Number of calls that start before it.
         """
@@ -147,6 +173,8 @@
             return 0.0
         now = self._clock()
         started = [at for at in self._recent_starts if at > now - START_WINDOW_SECONDS]
+        started += [now] * min(limit, len(self._reserved))
+        del started[:-limit]
         # Starts that are left in the current window, before the oldest one expires.
         available = limit - len(started)
         if calls_ahead < available:
--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -64,6 +64,32 @@
     assert abs(clock.now + warm_up.get_start_delay() - expected_at) < 1e-6
 
 
+@given(st.lists(st.tuples(st.floats(0.0, 0.3), st.floats(0.0, 1.5)), max_size=60))
+def test_calls_that_wait_for_a_connection_count(calls):
+    """Guards against a backend server that accepts no connection for a second after its
+    start: calls that may start wait, and are sent together with later ones.
+    """
+    clock = Clock()
+    warm_up = build_warm_up(clock)
+    warm_up.record_cold_time(60.0)
+    pending: list[tuple[float, int]] = []
+    sent: list[float] = []
+    for slot, (gap, connecting) in enumerate(calls):
+        until = clock.now + gap
+        for at, waiting_slot in sorted(pending):
+            if at <= until:
+                clock.now = max(clock.now, at)
+                warm_up.record_start(waiting_slot)
+                sent.append(clock.now)
+                pending.remove((at, waiting_slot))
+        clock.now = until
+        if warm_up.get_start_delay() == 0:
+            warm_up.reserve_start(slot)
+            pending.append((clock.now + connecting, slot))
+    for at in sent:
+        assert sum(at <= other < at + 1.0 for other in sent) <= LIMIT
+
+
 def test_calls_before_a_backend_server_turned_cold_count():
     """Guards against a burst on top of the calls that it got in the second before."""
     clock = Clock()
