--- a/primroseglade/emulator/__init__.py
+++ b/primroseglade/emulator/__init__.py
@@ -1,1 +1,1 @@
-"""Emulates a fleet in simulated time, running the nodes' own rate limiting code."""
+"""Emulates a fleet in simulated time, running the nodes' own code."""
--- a/tests/test_backend_queue.py
+++ b/tests/test_backend_queue.py
@@ -4,11 +4,10 @@
 
 import pytest
 
+from primroseglade.emulator.virtual_time import run_in_virtual_time
 from primroseglade.sidecar.backend_queue import BackendQueue
 from primroseglade.verdicts import Refusal, Verdict
 
-from .virtual_time import run_in_virtual_time
-
 
 async def take_all_slots(queue: BackendQueue) -> list[int]:
     """Take and return all slots of a queue, after service times of 0.01 s."""
--- a/tests/test_peer_liveness.py
+++ b/tests/test_peer_liveness.py
@@ -2,13 +2,12 @@
 
 import asyncio
 
+from primroseglade.emulator.virtual_time import run_in_virtual_time
 from primroseglade.observe.events import Journal
 from primroseglade.sidecar.frames import Frame
 from primroseglade.sidecar.model import NodeEntry
 from primroseglade.sidecar.peer import Peer
 
-from .virtual_time import run_in_virtual_time
-
 CHECK_SECONDS = 0.1
 
 
