Estimate call ratios from the time that runs are in flight

Kept: in-flight time over 0.1 s, a third of the ridge once there are some 75 intervals, more before; not clipped at the node, so that the mean over nodes has no bias; a route that seems to make less than a quarter of its service's average makes none. New test (eight nodes, 16 s) fails on the former estimate.

--- a/primroseglade/sidecar/call_graph.py
+++ b/primroseglade/sidecar/call_graph.py
@@ -16,6 +16,10 @@
 # each other in a cycle would make the tree infinite.
 MAX_DEPTH = 20
 
+# A route that seems to make less than this fraction of its service's average number of
+# calls to a route makes none: the estimates of routes with few runs scatter that much.
+MIN_AVERAGE_RATIO = 0.25
+
 # Name of a route, and a service that serves calls of the route.
 RouteService = tuple[str, str]
 
@@ -51,13 +55,17 @@
                 route_sums = sums.setdefault(route_service, {})
                 for name, ratio in ratios.items():
                     route_sums[name] = route_sums.get(name, 0.0) + ratio
-        self._call_ratios = {
+        averages = {
             route_service: {
                 name: total / node_counts[route_service]
                 for name, total in ratios.items()
             }
             for route_service, ratios in sums.items()
         }
+        self._call_ratios = {
+            route_service: _drop_noise(ratios, averages.get(("", route_service[1]), {}))
+            for route_service, ratios in averages.items()
+        }
         self._routes = routes
         self._expected_calls = {}
 
@@ -130,3 +138,17 @@
             return []
         total = sum(service.weight for service in route.services)
         return [(service.name, service.weight / total) for service in route.services]
+
+
+def _drop_noise(ratios: CallRatios, averages: CallRatios) -> CallRatios:
+    """Return the ratios that differ clearly from zero.
+
+    Args:
+        ratios: Calls per run of one route, by called route.
+        averages: The same over all runs of the service.
+    """
+    return {
+        name: ratio
+        for name, ratio in ratios.items()
+        if ratio > MIN_AVERAGE_RATIO * averages.get(name, 0.0)
+    }
--- a/primroseglade/sidecar/call_ratios.py
+++ b/primroseglade/sidecar/call_ratios.py
@@ -3,183 +3,208 @@
 A run is one execution of a call by the backend server. The calls that the backend
 server makes do not name the run that makes them, and runs of several routes overlap:
 for example, uploads that make no calls and look-ups that make four. But the number of
-runs of each route varies from moment to moment, and the number of calls varies with it.
-A regression of calls on runs over many short intervals therefore separates the routes
-(non-negative ridge regression with exponential forgetting). Without enough data, each
-route gets the average over all routes.
+runs of each route that are in flight varies from moment to moment, and the rate of
+calls varies with it. A regression of calls on the time that runs are in flight, over
+many short intervals, therefore separates the routes (ridge regression with exponential
+forgetting). Without enough data, each route gets the average over all routes.
 """
 
-import math
 from collections.abc import Sequence
 
-# Long compared to a run, so that a run and its calls mostly fall into one interval.
-INTERVAL_SECONDS = 0.5
-# Age at which an interval has half its weight. At about ten runs per second of each
-# route, this is long enough to separate the routes, and short enough for estimates to
-# follow a configuration that moves routes.
-HALF_LIFE_SECONDS = 8.0
-INTERVAL_DECAY_RATIO = math.exp(-math.log(2) * INTERVAL_SECONDS / HALF_LIFE_SECONDS)
+# About as long as the gaps between the calls of a run: in longer intervals, variations
+# average out.
+INTERVAL_SECONDS = 0.1
+# Age at which an interval has half its weight: long enough to separate the routes if
+# one has a few runs per second, short enough for estimates to follow a configuration
+# that moves routes.
+HALF_LIFE_SECONDS = 16.0
+INTERVAL_DECAY_RATIO = 0.5 ** (INTERVAL_SECONDS / HALF_LIFE_SECONDS)
 # Maximum number of routes that are estimated separately: those with the most runs. The
 # others get the average.
 MAX_FITTED_ROUTES = 10
 # Minimum number of runs of a route that is estimated separately, and of all routes
 # together for any estimate.
 MIN_RUNS = 5.0
-# Lower ratios of calls per run are dropped: they come from a few last calls of a route
-# that was moved.
+# Lower averages of calls per run are dropped: they come from a few last calls of a
+# route that was moved.
 MIN_CALL_RATIO = 0.02
-# Fraction of an interval's calls that are stray calls: their runs are counted in the
-# previous or next interval.
-STRAY_CALL_RATIO = 0.4
+# Weight of the assumption that all routes make the average number of calls: the ridge
+# term, as a multiple of that for which the ratios scatter as widely as their average.
+RIDGE_WEIGHT = 0.3
+# With fewer intervals than this, that weight is a multiple.
+MIN_RELIABLE_INTERVALS = 75.0
 
 # Calls per run, by the route that is called.
 CallRatios = dict[str, float]
 
 
-class _Interval:
-    """Counts of runs by route and of calls by called route, in one interval."""
+class _RouteTotals:
+    """Runs of one route.
 
-    __slots__ = ("calls", "runs", "started")
+    Attributes:
+        running: Runs in flight.
+        updated_at: Until when ``interval_seconds`` includes the runs in flight.
+        interval_seconds: Seconds in flight, summed over runs, in the current interval.
+        seconds: The same since the start; decays with the age of the interval.
+        runs: Runs that ended; decays likewise.
+    """
+
+    __slots__ = ("interval_seconds", "running", "runs", "seconds", "updated_at")
+
+    def __init__(self, now: float):
+        self.running = 0
+        self.updated_at = now
+        self.interval_seconds = 0.0
+        self.seconds = 0.0
+        self.runs = 0.0
 
-    def __init__(self, started: float):
-        self.started = started
-        self.runs: dict[str, float] = {}
-        self.calls: dict[str, float] = {}
+    @property
+    def mean_seconds(self) -> float:
+        """Mean time for which a run is in flight."""
+        return self.seconds / self.runs
+
+    def advance(self, now: float) -> None:
+        """Include the time until now."""
+        if self.running:
+            self.interval_seconds += self.running * (now - self.updated_at)
+        self.updated_at = now
 
 
 class CallRatioEstimator:
     """Counts runs and calls of the local backend server, and estimates their ratios."""
 
     def __init__(self) -> None:
-        self._interval: _Interval | None = None
+        self._routes: dict[str, _RouteTotals] = {}
+        self._interval_started_at = 0.0
+        self._interval_calls: dict[str, float] = {}
         self._total_weight = 0.0
-        self._runs: dict[str, float] = {}
         self._calls: dict[str, float] = {}
         # Sums for the regression's normal equations, by pair of routes (a, b). For each
-        # interval, the runs of a are multiplied by the runs of b, or by the calls to b.
-        # These sums and the two above decay with the age of the interval.
+        # interval, the seconds in flight of a are multiplied by those of b, or by the
+        # calls to b. These sums and the two above decay with the age of the interval.
         self._run_run_products: dict[tuple[str, str], float] = {}
         self._run_call_products: dict[tuple[str, str], float] = {}
-        self._estimates: dict[str, CallRatios] = {}
 
     def record_start(self, route: str, now: float) -> None:
-        """Count half a run at its start; `record_end` counts the other half.
-
-        A run that starts in one interval and ends in another may make calls in both, so
-        each of them counts half of it.
-        """
-        runs = self._get_interval(now).runs
-        runs[route] = runs.get(route, 0.0) + 0.5
+        """Count the start of a run."""
+        totals = self._get_totals(route, now)
+        totals.advance(now)
+        totals.running += 1
 
     def record_end(self, route: str, now: float) -> None:
-        """Count the other half of a run at its end."""
-        runs = self._get_interval(now).runs
-        runs[route] = runs.get(route, 0.0) + 0.5
+        """Count the end of a run."""
+        totals = self._get_totals(route, now)
+        totals.advance(now)
+        totals.running -= 1
+        totals.runs += 1.0
 
     def record_call(self, route: str, now: float) -> None:
         """Count a call that the local backend server makes."""
-        calls = self._get_interval(now).calls
-        calls[route] = calls.get(route, 0.0) + 1.0
+        self._advance(now)
+        self._interval_calls[route] = self._interval_calls.get(route, 0.0) + 1.0
 
     def get_ratios(self, now: float) -> dict[str, CallRatios]:
         """Return calls per run, by the run's route and then by the called route.
 
-        The key ``""`` holds the average over all runs.
+        The key ``""`` holds the average over all runs. Ratios of single routes may be
+        slightly below zero: the average over many nodes has no bias then.
 
         Args:
             now: Seconds on the loop's clock.
         """
-        self._get_interval(now)
-        return self._estimates
-
-    def _get_interval(self, now: float) -> _Interval:
-        interval = self._interval
-        if interval is None:
-            interval = self._interval = _Interval(now)
-        elif now - interval.started >= INTERVAL_SECONDS:
-            self._add_interval(interval)
-            # Intervals skipped during a pause had no runs and would not add data.
-            interval = self._interval = _Interval(now)
-            self._estimates = self._estimate()
-        return interval
-
-    def _add_interval(self, interval: _Interval) -> None:
-        for sums in (
-            self._runs,
-            self._calls,
-            self._run_run_products,
-            self._run_call_products,
-        ):
-            _decay(sums)
-        self._total_weight = self._total_weight * INTERVAL_DECAY_RATIO + 1.0
-        for route, runs in interval.runs.items():
-            self._runs[route] = self._runs.get(route, 0.0) + runs
-            for other, other_runs in interval.runs.items():
-                pair = (route, other)
-                self._run_run_products[pair] = (
-                    self._run_run_products.get(pair, 0.0) + runs * other_runs
-                )
-            for called, calls in interval.calls.items():
-                pair = (route, called)
-                self._run_call_products[pair] = (
-                    self._run_call_products.get(pair, 0.0) + runs * calls
-                )
-        for called, calls in interval.calls.items():
-            self._calls[called] = self._calls.get(called, 0.0) + calls
-
-    def _estimate(self) -> dict[str, CallRatios]:
-        runs = sum(self._runs.values())
+        self._advance(now)
+        runs = sum(totals.runs for totals in self._routes.values())
         if runs < MIN_RUNS:
             return {}
-        routes = sorted(self._runs, key=self._runs.__getitem__, reverse=True)
-        routes = [r for r in routes[:MAX_FITTED_ROUTES] if self._runs[r] >= MIN_RUNS]
+        routes = sorted(
+            self._routes, key=lambda name: self._routes[name].runs, reverse=True
+        )[:MAX_FITTED_ROUTES]
+        routes = [name for name in routes if self._routes[name].runs >= MIN_RUNS]
         estimates: dict[str, CallRatios] = {"": {}} | {route: {} for route in routes}
         for called, calls in self._calls.items():
             average = calls / runs
             if average < MIN_CALL_RATIO:
                 continue
             estimates[""][called] = round(average, 3)
-            ratios = self._fit(routes, called, average, runs)
+            ratios = self._fit(routes, called, average)
             for route, ratio in zip(routes, ratios, strict=True):
-                if ratio >= MIN_CALL_RATIO:
-                    estimates[route][called] = round(ratio, 3)
+                estimates[route][called] = round(ratio, 3)
         return estimates
 
-    def _fit(
-        self, routes: list[str], called: str, average: float, runs: float
-    ) -> list[float]:
-        """Return the calls to one route per run of each route, none below zero."""
-        # Stray calls are those of an interval whose runs are counted in another. All
-        # calls of a run stray together, so the variance of their number is its expected
-        # value times the calls per run. The ridge term pulls the ratios towards their
-        # average. It is the variance of the stray calls divided by that of the ratios,
-        # whose standard deviation is assumed to be about their average.
-        stray_variance = (
-            STRAY_CALL_RATIO * average * runs / self._total_weight * max(1.0, average)
-        )
-        ridge = stray_variance / average**2
-        fitted_routes = list(routes)
-        ratios = dict.fromkeys(routes, 0.0)
-        while fitted_routes:
-            matrix = [
-                [
-                    self._run_run_products.get((row_route, other), 0.0)
-                    + ridge * (row_route == other)
-                    for other in fitted_routes
-                ]
-                for row_route in fitted_routes
-            ]
-            right_side = [
-                self._run_call_products.get((row_route, called), 0.0) + ridge * average
-                for row_route in fitted_routes
+    def _get_totals(self, route: str, now: float) -> _RouteTotals:
+        self._advance(now)
+        totals = self._routes.get(route)
+        if totals is None:
+            totals = self._routes[route] = _RouteTotals(now)
+        return totals
+
+    def _advance(self, now: float) -> None:
+        """Start a new interval if the current one is over."""
+        if now - self._interval_started_at < INTERVAL_SECONDS:
+            return
+        if self._interval_started_at:
+            self._add_interval(now)
+        # Intervals skipped during a pause had no starts, ends or calls.
+        self._interval_started_at = now
+        self._interval_calls = {}
+
+    def _add_interval(self, now: float) -> None:
+        seconds: dict[str, float] = {}
+        for name, totals in list(self._routes.items()):
+            totals.advance(now)
+            if totals.interval_seconds:
+                seconds[name] = totals.interval_seconds
+            totals.seconds = totals.seconds * INTERVAL_DECAY_RATIO
+            totals.seconds += totals.interval_seconds
+            totals.runs *= INTERVAL_DECAY_RATIO
+            totals.interval_seconds = 0.0
+            if not totals.running and totals.runs < 1e-3:
+                del self._routes[name]
+        for sums in (self._calls, self._run_run_products, self._run_call_products):
+            _decay(sums)
+        self._total_weight = self._total_weight * INTERVAL_DECAY_RATIO + 1.0
+        for name, route_seconds in seconds.items():
+            for other, other_seconds in seconds.items():
+                pair = (name, other)
+                self._run_run_products[pair] = (
+                    self._run_run_products.get(pair, 0.0)
+                    + route_seconds * other_seconds
+                )
+            for called, calls in self._interval_calls.items():
+                pair = (name, called)
+                self._run_call_products[pair] = (
+                    self._run_call_products.get(pair, 0.0) + route_seconds * calls
+                )
+        for called, calls in self._interval_calls.items():
+            self._calls[called] = self._calls.get(called, 0.0) + calls
+
+    def _fit(self, routes: list[str], called: str, average: float) -> list[float]:
+        """Return the calls to one route per run of each route."""
+        # The unknowns are calls per second in flight. The variance of the calls in an
+        # interval is about their number.
+        variance = self._calls[called] / self._total_weight
+        mean_seconds = [self._routes[name].mean_seconds for name in routes]
+        average_rates = [average / seconds for seconds in mean_seconds]
+        shortage = MIN_RELIABLE_INTERVALS / self._total_weight
+        ridge_weight = RIDGE_WEIGHT * (1.0 + shortage**2)
+        ridges = [ridge_weight * variance / rate**2 for rate in average_rates]
+        matrix = [
+            [
+                self._run_run_products.get((row_route, other), 0.0)
+                + ridges[row] * (row_route == other)
+                for other in routes
             ]
-            solved = dict(zip(fitted_routes, solve(matrix, right_side), strict=True))
-            positive = [route for route in fitted_routes if solved[route] > 0]
-            if len(positive) == len(fitted_routes):
-                ratios.update(solved)
-                break
-            fitted_routes = positive
-        return [ratios[route] for route in routes]
+            for row, row_route in enumerate(routes)
+        ]
+        right_side = [
+            self._run_call_products.get((row_route, called), 0.0)
+            + ridges[row] * average_rates[row]
+            for row, row_route in enumerate(routes)
+        ]
+        rates = solve(matrix, right_side)
+        return [
+            rate * seconds for rate, seconds in zip(rates, mean_seconds, strict=True)
+        ]
 
 
 def solve(
--- a/tests/test_call_ratios.py
+++ b/tests/test_call_ratios.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from primroseglade.sidecar.call_graph import CallGraph
 from primroseglade.sidecar.call_ratios import CallRatioEstimator
+from primroseglade.sidecar.model import Route, RouteKind, WeightedService
 
 
 def simulate_runs(
@@ -77,6 +79,35 @@
     assert ledger == pytest.approx(1.0, abs=0.2)
 
 
+def test_rare_uploads_beside_many_look_ups_make_no_calls():
+    """Guards against refusing uploads for a service that they do not call: they are one
+    run in thirty, and averages over half a second hide when they run. Eight nodes, as
+    admission sees them.
+    """
+    rates = {"upload": 2.7, "index": 92.0}
+    ratios = [
+        simulate_runs(rates, {"index": ("lookup", 4)}, 16.0, seed).get_ratios(16.0)
+        for seed in range(8)
+    ]
+    graph = CallGraph()
+    lookup = Route(
+        "lookup",
+        "h",
+        "/",
+        RouteKind.SAFE,
+        [WeightedService("deep", 1)],
+        1,
+        1,
+        0,
+        1,
+        True,
+    )
+    graph.rebuild([("images", node) for node in ratios], {"lookup": lookup})
+    assert "deep" not in graph.get_expected_calls("upload", "images")
+    calls = graph.get_expected_calls("index", "images")["deep"]
+    assert calls == pytest.approx(4.0, rel=0.1)
+
+
 def test_early_estimate_is_the_average():
     """Two seconds after its start, a node has too little data to separate routes."""
     rates = {"upload": 3.0, "index": 40.0}
