Admit ranks together if the less urgent one costs far less

Cause: levels admitted strictly by rank.

No rank is admitted to a greater part than a more urgent one; ranks of equal cost are admitted as before (test_admission_levels).

Besides, a call that waits too long for its slot is refused as overloaded again, not as cold.

--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -16,6 +16,7 @@
 import random
 from collections.abc import Mapping
 
+from .admission_order import compute_admitted_fractions, RankDemand
 from .retry_budget import SlidingCount
 
 # Fraction of the estimated capacity that is admitted. The rest is left for retries:
@@ -145,6 +146,16 @@
         sums[1] += slots / (slot_ms or 1.0)
 
 
+class _RankCount:
+    """Recent requests of one rank, and the calls to a service that they cause."""
+
+    __slots__ = ("calls", "requests")
+
+    def __init__(self) -> None:
+        self.calls = SlidingCount(DEMAND_WINDOW_SECONDS)
+        self.requests = SlidingCount(DEMAND_WINDOW_SECONDS)
+
+
 class Admission:
     """Keeps an admission level for each overloaded service and applies it to requests.
 
@@ -160,8 +171,8 @@
 
     def __init__(self, rng: random.Random):
         self._rng = rng
-        # Recent calls to each service, by the rank of the requests that cause them.
-        self._demand: dict[str, dict[int, SlidingCount]] = {}
+        # Recent requests that lead to each service, by rank.
+        self._demand: dict[str, dict[int, _RankCount]] = {}
         self._correction_factors: dict[str, float] = {}
         self._admission_levels: dict[str, float] = {}
         # For each overloaded service, the admitted fraction of each rank.
@@ -190,13 +201,14 @@
             counts = self._demand.setdefault(service, {})
             count = counts.get(rank)
             if count is None:
-                count = counts[rank] = SlidingCount(DEMAND_WINDOW_SECONDS)
-            count.add(now, calls)
+                count = counts[rank] = _RankCount()
+            count.requests.add(now)
+            count.calls.add(now, calls)
 
     def measure_demand(self, now: float) -> dict[str, float]:
         """Return the calls per second that requests at this node cause, by service."""
         demand = {
-            service: sum(count.total(now) for count in ranks.values())
+            service: sum(count.calls.total(now) for count in ranks.values())
             / DEMAND_WINDOW_SECONDS
             for service, ranks in self._demand.items()
         }
@@ -300,12 +312,9 @@
     ) -> dict[int, float]:
         """Return the admitted fraction of each rank at a service's admission level."""
         counts = self._demand.get(service, {})
-        demand = {rank: count.total(now) for rank, count in sorted(counts.items())}
-        remaining_demand = level * sum(demand.values())
-        admitted_fractions: dict[int, float] = {}
-        for rank, calls in demand.items():
-            admitted_fractions[rank] = (
-                min(1.0, remaining_demand / calls) if calls else 1.0
-            )
-            remaining_demand = max(0.0, remaining_demand - calls)
-        return admitted_fractions
+        demands = [
+            RankDemand(rank, count.requests.total(now), count.calls.total(now))
+            for rank, count in counts.items()
+        ]
+        admitted_calls = level * sum(demand.calls for demand in demands)
+        return compute_admitted_fractions(demands, admitted_calls)
--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -181,7 +181,10 @@
             )
             max_response_seconds = min(remaining, max_nested_seconds)
         start_delay = self._get_start_delay(calls_ahead)
-        if start_delay + self._service_seconds > max_response_seconds:
+        if (
+            start_delay > expected_wait
+            and start_delay + self._service_seconds > max_response_seconds
+        ):
             raise not_run(
                 Reason.BACKEND_COLD,
                 f"the backend server is cold: {calls_ahead} calls ahead, "
