--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -17,9 +17,11 @@
 from ..verdicts import may_have_run, not_run, Reason, Refusal
 from .backend_queue import BackendQueue
 from .call_ratios import CallRatioEstimator
+from .failure_ratio import FailureRatio
 from .frames import Call
 from .health_check import HealthAnswer
 from .http_client import ConnectionPool, ExchangeError, Response
+from .http_messages import MIN_FAILURE_STATUS
 from .load_balancing import Candidate
 from .model import BackendState, StatusReport
 from .warm_up import WarmUp
@@ -27,8 +29,6 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 # A call with less time until its deadline is not sent: its answer would be too late.
 MIN_REMAINING_SECONDS = 0.002
-# Weight of a new outcome in the moving average, which covers about 30 calls.
-FAILURE_SMOOTHING = 1 / 32
 # A call that got no answer and is canceled after more than this many average service
 # times counts as a failure of the backend server: few calls run that long. Its slot is
 # given to another call earlier (`MAX_SLOT_SERVICE_TIMES`).
@@ -145,7 +145,7 @@
         self._node_stopping = False
         self._enabled = False
         self._evacuated = False
-        self._failure_ratio = 0.0
+        self._failure_ratio = FailureRatio(time.monotonic)
         self.pool = ConnectionPool(address, CONNECT_TIMEOUT_SECONDS, self.assume_cold)
         self.warm_up = warm_up
         self.queue = BackendQueue(1, warm_up)
@@ -197,7 +197,7 @@
     @property
     def failure_ratio(self) -> float:
         """Fraction of recent calls that failed."""
-        return self._failure_ratio
+        return self._failure_ratio.value
 
     @property
     def start_time_ms(self) -> int:
@@ -218,7 +218,7 @@
             self.slots,
             self.queue.in_flight,
             self.service_ms,
-            self._failure_ratio,
+            self.failure_ratio,
             start_rate=self.warm_up.start_rate,
         )
 
@@ -380,7 +380,7 @@
             # as a failure of the backend server: a lost answer raises no error.
             elapsed = time.monotonic() - started
             if elapsed > UNANSWERED_SERVICE_TIMES * self.queue.service_seconds:
-                self._record_outcome(failed=True)
+                self._failure_ratio.record(True)
             raise
         finally:
             now = time.monotonic()
@@ -391,7 +391,7 @@
         """Replace the state that was kept for the previous incarnation."""
         self.pool.close_idle()
         self._draining = True
-        self._failure_ratio = 0.0
+        self._failure_ratio.reset()
         self.warm_up.record_cold_time(0.0)
         self.queue.resize(report.slots)
 
@@ -492,7 +492,7 @@
         try:
             connection = await self.pool.acquire(non_idempotent=not call.idempotent)
         except ExchangeError as error:
-            self._record_outcome(failed=True)
+            self._failure_ratio.record(True)
             if error.refused:
                 self._mark_unavailable()
             raise not_run(Reason.CONNECTION_LOST, error.detail) from error
@@ -507,7 +507,7 @@
                 request, is_answer_to_call, call.head.startswith(b"HEAD ")
             )
         except ExchangeError as error:
-            self._record_outcome(failed=True)
+            self._failure_ratio.record(True)
             if not error.sent:
                 raise not_run(Reason.CONNECTION_LOST, error.detail) from error
             raise may_have_run(Reason.CONNECTION_LOST, error.detail) from error
@@ -527,7 +527,7 @@
             Refusal: The answer is a refusal, or its signature is missing.
         """
         if parsed.not_executed or answer.status == 421:
-            self._record_outcome(failed=True)
+            self._failure_ratio.record(True)
             if answer.status == 421:
                 # Another backend server has the address; the next report names it.
                 self._draining = True
@@ -537,15 +537,12 @@
             detail = "the backend server refused the call"
             raise BackendRefusal(Reason.OVERLOADED, detail=detail)
         if answer.status < 300 and not parsed.signed:
-            self._record_outcome(failed=True)
+            self._failure_ratio.record(True)
             detail = "the answer carries no signature of the backend server"
             raise may_have_run(Reason.ANSWER_BROKEN, detail)
-        self._record_outcome(failed=answer.status >= 500)
+        self._failure_ratio.record(answer.status >= MIN_FAILURE_STATUS)
         return ServedAnswer(answer.status, parsed, answer.body)
 
-    def _record_outcome(self, failed: bool) -> None:
-        self._failure_ratio += FAILURE_SMOOTHING * (float(failed) - self._failure_ratio)
-
 
 def _check_remaining_time(remaining: float) -> None:
     """Refuse a call that cannot be answered before its deadline."""
