Learn call ratios from runs that succeed

Cause: runs that fail stop at the call that failed.

Change: intervals in which more than a tenth of the runs failed are left out. Test: 4 calls a run stay 4 after eight seconds of failures.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -367,13 +367,14 @@
             call.latency_target_ms / 1000, remaining, call.nested
         )
         started = time.monotonic()
-        completed = False
+        completed = succeeded = False
         self._call_ratios.record_start(call.route, started)
         try:
             # The backend server may have been drained while the call was queued.
             self._check_instance(call)
             served = await self._exchange(call, deadline, slot)
             completed = True
+            succeeded = served.status < MIN_FAILURE_STATUS
             return served
         except asyncio.CancelledError:
             # The caller gave up. If the call has run far longer than usual, this counts
@@ -384,7 +385,7 @@
             raise
         finally:
             now = time.monotonic()
-            self._call_ratios.record_end(call.route, now)
+            self._call_ratios.record_end(call.route, now, succeeded)
             self.queue.release(slot, now - started, completed)
 
     def _reset_for_incarnation(self, report: StatusReport) -> None:
--- a/primroseglade/sidecar/call_ratios.py
+++ b/primroseglade/sidecar/call_ratios.py
@@ -31,6 +31,9 @@
 # Weight of the assumption that all routes make the average number of calls: the ridge
 # term, as a multiple of that for which the ratios scatter as widely as their average.
 RIDGE_WEIGHT = 0.3
+# Intervals in which a greater part of the runs failed are left out: a run that fails
+# does not make all of its calls.
+MAX_FAILED_RATIO = 0.1
 # With fewer intervals than this, that weight is a multiple.
 MIN_RELIABLE_INTERVALS = 75.0
 
@@ -45,16 +48,25 @@
         running: Runs in flight.
         updated_at: Until when ``interval_seconds`` includes the runs in flight.
         interval_seconds: Seconds in flight, summed over runs, in the current interval.
-        seconds: The same since the start; decays with the age of the interval.
-        runs: Runs that ended; decays likewise.
+        interval_runs: Runs that ended in the current interval.
+        seconds: Seconds in flight since the start; decay with the age of the interval.
+        runs: Runs that ended; decay likewise.
     """
 
-    __slots__ = ("interval_seconds", "running", "runs", "seconds", "updated_at")
+    __slots__ = (
+        "interval_runs",
+        "interval_seconds",
+        "running",
+        "runs",
+        "seconds",
+        "updated_at",
+    )
 
     def __init__(self, now: float):
         self.running = 0
         self.updated_at = now
         self.interval_seconds = 0.0
+        self.interval_runs = 0
         self.seconds = 0.0
         self.runs = 0.0
 
@@ -77,6 +89,8 @@
         self._routes: dict[str, _RouteTotals] = {}
         self._interval_started_at = 0.0
         self._interval_calls: dict[str, float] = {}
+        self._interval_ends = 0
+        self._interval_failures = 0
         self._total_weight = 0.0
         self._calls: dict[str, float] = {}
         # Sums for the regression's normal equations, by pair of routes (a, b). For each
@@ -91,12 +105,14 @@
         totals.advance(now)
         totals.running += 1
 
-    def record_end(self, route: str, now: float) -> None:
+    def record_end(self, route: str, now: float, succeeded: bool = True) -> None:
         """Count the end of a run."""
         totals = self._get_totals(route, now)
         totals.advance(now)
         totals.running -= 1
-        totals.runs += 1.0
+        totals.interval_runs += 1
+        self._interval_ends += 1
+        self._interval_failures += not succeeded
 
     def record_call(self, route: str, now: float) -> None:
         """Count a call that the local backend server makes."""
@@ -142,22 +158,29 @@
         """Start a new interval if the current one is over."""
         if now - self._interval_started_at < INTERVAL_SECONDS:
             return
-        if self._interval_started_at:
-            self._add_interval(now)
+        for totals in self._routes.values():
+            totals.advance(now)
+        if (
+            self._interval_started_at
+            and self._interval_failures <= MAX_FAILED_RATIO * self._interval_ends
+        ):
+            self._add_interval()
         # Intervals skipped during a pause had no starts, ends or calls.
         self._interval_started_at = now
         self._interval_calls = {}
+        self._interval_ends = self._interval_failures = 0
+        for totals in self._routes.values():
+            totals.interval_seconds = 0.0
+            totals.interval_runs = 0
 
-    def _add_interval(self, now: float) -> None:
+    def _add_interval(self) -> None:
         seconds: dict[str, float] = {}
         for name, totals in list(self._routes.items()):
-            totals.advance(now)
             if totals.interval_seconds:
                 seconds[name] = totals.interval_seconds
             totals.seconds = totals.seconds * INTERVAL_DECAY_RATIO
             totals.seconds += totals.interval_seconds
-            totals.runs *= INTERVAL_DECAY_RATIO
-            totals.interval_seconds = 0.0
+            totals.runs = totals.runs * INTERVAL_DECAY_RATIO + totals.interval_runs
             if not totals.running and totals.runs < 1e-3:
                 del self._routes[name]
         for sums in (self._calls, self._run_run_products, self._run_call_products):
--- a/tests/test_call_ratios.py
+++ b/tests/test_call_ratios.py
@@ -108,6 +108,23 @@
     assert calls == pytest.approx(4.0, rel=0.1)
 
 
+def test_runs_that_fail_do_not_change_the_ratios():
+    """Guards against admission that takes the demand for a service for a third of what
+    it is, and refuses nobody, after the service shed calls for eight seconds: meanwhile
+    runs failed at the first of their four calls.
+    """
+    estimator = simulate_runs({"index": 100.0}, {"index": ("lookup", 4)}, 15.0, 1)
+    rng = random.Random(2)
+    now = 15.0
+    while now < 23.0:
+        estimator.record_start("index", now)
+        estimator.record_call("lookup", now + 0.002)
+        now += rng.expovariate(100.0)
+        estimator.record_end("index", now, succeeded=False)
+    ratios = estimator.get_ratios(now)
+    assert ratios["index"]["lookup"] == pytest.approx(4.0, rel=0.1)
+
+
 def test_early_estimate_is_the_average():
     """Two seconds after its start, a node has too little data to separate routes."""
     rates = {"upload": 3.0, "index": 40.0}
