Count half a run at its start when call ratios are estimated

Cause: with runs counted at their end only, calls of runs that have not ended yet inflate the average while the load rises.

--- a/primroseglade/sidecar/call_ratios.py
+++ b/primroseglade/sidecar/call_ratios.py
@@ -48,9 +48,9 @@
         running: Runs in flight.
         updated_at: Until when ``interval_seconds`` includes the runs in flight.
         interval_seconds: Seconds in flight, summed over runs, in the current interval.
-        interval_runs: Runs that ended in the current interval.
+        interval_runs: Runs in the current interval, half at the start, half at the end.
         seconds: Seconds in flight since the start; decay with the age of the interval.
-        runs: Runs that ended; decay likewise.
+        runs: Runs; decay likewise.
     """
 
     __slots__ = (
@@ -66,7 +66,7 @@
         self.running = 0
         self.updated_at = now
         self.interval_seconds = 0.0
-        self.interval_runs = 0
+        self.interval_runs = 0.0
         self.seconds = 0.0
         self.runs = 0.0
 
@@ -100,17 +100,22 @@
         self._run_call_products: dict[tuple[str, str], float] = {}
 
     def record_start(self, route: str, now: float) -> None:
-        """Count the start of a run."""
+        """Count half a run at its start; `record_end` counts the other half.
+
+        While the load rises, more runs start than end, and those that have not ended
+        make calls, too.
+        """
         totals = self._get_totals(route, now)
         totals.advance(now)
         totals.running += 1
+        totals.interval_runs += 0.5
 
     def record_end(self, route: str, now: float, succeeded: bool = True) -> None:
-        """Count the end of a run."""
+        """Count the other half of a run at its end."""
         totals = self._get_totals(route, now)
         totals.advance(now)
         totals.running -= 1
-        totals.interval_runs += 1
+        totals.interval_runs += 0.5
         self._interval_ends += 1
         self._interval_failures += not succeeded
 
@@ -171,7 +176,7 @@
         self._interval_ends = self._interval_failures = 0
         for totals in self._routes.values():
             totals.interval_seconds = 0.0
-            totals.interval_runs = 0
+            totals.interval_runs = 0.0
 
     def _add_interval(self) -> None:
         seconds: dict[str, float] = {}
--- a/tests/test_call_ratios.py
+++ b/tests/test_call_ratios.py
@@ -125,6 +125,18 @@
     assert ratios["index"]["lookup"] == pytest.approx(4.0, rel=0.1)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_runs_that_have_not_ended_count_while_the_load_rises(seed: int):
+    """Guards against admission that takes the demand for a service four calls deeper
+    for ten times what it is, in the first second after a start: runs of half a second
+    make calls, and few of them have ended.
+    """
+    rates = {"history": 20.0, "ledger": 30.0}
+    calls = {"history": ("deep", 2), "ledger": ("deep", 2)}
+    estimator = simulate_runs(rates, calls, 1.0, seed, mean_run_seconds=0.5)
+    assert estimator.get_ratios(1.0)[""]["deep"] < 2.0 * 1.5
+
+
 def test_early_estimate_is_the_average():
     """Two seconds after its start, a node has too little data to separate routes."""
     rates = {"upload": 3.0, "index": 40.0}
