Divide runs among the intervals that they span when call ratios are estimated

Cause: calls per second in flight change with the load below.

Kept: runs are divided at their end, intervals enter the regression a second later, counts at once, and the ratios are scaled to agree with the counts. Test: congestion, eight nodes.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -385,7 +385,7 @@
             raise
         finally:
             now = time.monotonic()
-            self._call_ratios.record_end(call.route, now, succeeded)
+            self._call_ratios.record_end(call.route, started, now, succeeded)
             self.queue.release(slot, now - started, completed)
 
     def _reset_for_incarnation(self, report: StatusReport) -> None:
--- a/primroseglade/sidecar/call_ratios.py
+++ b/primroseglade/sidecar/call_ratios.py
@@ -3,17 +3,21 @@
 A run is one execution of a call by the backend server. The calls that the backend
 server makes do not name the run that makes them, and runs of several routes overlap:
 for example, uploads that make no calls and look-ups that make four. But the number of
-runs of each route that are in flight varies from moment to moment, and the rate of
-calls varies with it. A regression of calls on the time that runs are in flight, over
-many short intervals, therefore separates the routes (ridge regression with exponential
-forgetting). Without enough data, each route gets the average over all routes.
+runs of each route varies from moment to moment, and the number of calls varies with it.
+A regression of calls on runs over many short intervals therefore separates the routes
+(ridge regression with exponential forgetting). A run that spans several intervals is
+divided among them. Without enough data, each route gets the average over all routes.
 """
 
+import collections
 from collections.abc import Sequence
 
 # About as long as the gaps between the calls of a run: in longer intervals, variations
 # average out.
 INTERVAL_SECONDS = 0.1
+# The regression includes an interval this many intervals later, when most of its runs
+# have ended.
+OPEN_INTERVALS = 10
 # Age at which an interval has half its weight: long enough to separate the routes if
 # one has a few runs per second, short enough for estimates to follow a configuration
 # that moves routes.
@@ -31,71 +35,76 @@
 # Weight of the assumption that all routes make the average number of calls: the ridge
 # term, as a multiple of that for which the ratios scatter as widely as their average.
 RIDGE_WEIGHT = 0.3
+# With fewer intervals than this, that weight is a multiple.
+MIN_RELIABLE_INTERVALS = 75.0
 # Intervals in which a greater part of the runs failed are left out: a run that fails
 # does not make all of its calls.
 MAX_FAILED_RATIO = 0.1
-# With fewer intervals than this, that weight is a multiple.
-MIN_RELIABLE_INTERVALS = 75.0
+# The estimates are scaled to agree with the average, at most by this factor or its
+# inverse.
+MAX_SCALE = 2.0
 
 # Calls per run, by the route that is called.
 CallRatios = dict[str, float]
 
 
-class _RouteTotals:
-    """Runs of one route.
+class _Interval:
+    """Runs and calls in one interval.
 
     Attributes:
-        running: Runs in flight.
-        updated_at: Until when ``interval_seconds`` includes the runs in flight.
-        interval_seconds: Seconds in flight, summed over runs, in the current interval.
-        interval_runs: Runs in the current interval, half at the start, half at the end.
-        seconds: Seconds in flight since the start; decay with the age of the interval.
-        runs: Runs; decay likewise.
+        number: Its number; interval 0 begins at time 0.
+        counts: Runs by route, half of each at its start and half at its end.
+        shares: Runs by route, each divided among the intervals that it spans.
+        calls: Calls by called route.
+        ends: Runs that ended.
+        failures: Runs that failed.
     """
 
-    __slots__ = (
-        "interval_runs",
-        "interval_seconds",
-        "running",
-        "runs",
-        "seconds",
-        "updated_at",
-    )
-
-    def __init__(self, now: float):
-        self.running = 0
-        self.updated_at = now
-        self.interval_seconds = 0.0
-        self.interval_runs = 0.0
-        self.seconds = 0.0
-        self.runs = 0.0
+    __slots__ = ("calls", "counts", "ends", "failures", "number", "shares")
+
+    def __init__(self, number: int):
+        self.number = number
+        self.counts: dict[str, float] = {}
+        self.shares: dict[str, float] = {}
+        self.calls: dict[str, float] = {}
+        self.ends = 0
+        self.failures = 0
 
     @property
-    def mean_seconds(self) -> float:
-        """Mean time for which a run is in flight."""
-        return self.seconds / self.runs
+    def is_usable(self) -> bool:
+        """Whether few enough runs failed."""
+        return self.failures <= MAX_FAILED_RATIO * self.ends
 
-    def advance(self, now: float) -> None:
-        """Include the time until now."""
-        if self.running:
-            self.interval_seconds += self.running * (now - self.updated_at)
-        self.updated_at = now
+    def add_share(self, route: str, since: float, until: float, seconds: float) -> None:
+        """Add the part of a run that falls into this interval.
+
+        Args:
+            route: Route of the run.
+            since: Start of the run, or of the first open interval.
+            until: End of the run.
+            seconds: Time from ``since`` to ``until``.
+        """
+        starts_at = self.number * INTERVAL_SECONDS
+        overlap = min(until, starts_at + INTERVAL_SECONDS) - max(since, starts_at)
+        if overlap > 0:
+            self.shares[route] = self.shares.get(route, 0.0) + overlap / seconds
 
 
 class CallRatioEstimator:
     """Counts runs and calls of the local backend server, and estimates their ratios."""
 
     def __init__(self) -> None:
-        self._routes: dict[str, _RouteTotals] = {}
-        self._interval_started_at = 0.0
-        self._interval_calls: dict[str, float] = {}
-        self._interval_ends = 0
-        self._interval_failures = 0
-        self._total_weight = 0.0
+        # The last intervals, the current one at the end.
+        self._open: collections.deque[_Interval] = collections.deque()
+        # Sums over all but the current interval: number of intervals, runs by route,
+        # and calls by called route. They decay with the age of the interval.
+        self._counted_intervals = 0.0
+        self._runs: dict[str, float] = {}
         self._calls: dict[str, float] = {}
-        # Sums for the regression's normal equations, by pair of routes (a, b). For each
-        # interval, the seconds in flight of a are multiplied by those of b, or by the
-        # calls to b. These sums and the two above decay with the age of the interval.
+        # Sums for the regression's normal equations, over intervals that are no longer
+        # open, by pair of routes (a, b): the runs of a multiplied by the runs of b, or
+        # by the calls to b. They decay, too.
+        self._fitted_intervals = 0.0
         self._run_run_products: dict[tuple[str, str], float] = {}
         self._run_call_products: dict[tuple[str, str], float] = {}
 
@@ -105,24 +114,36 @@
         While the load rises, more runs start than end, and those that have not ended
         make calls, too.
         """
-        totals = self._get_totals(route, now)
-        totals.advance(now)
-        totals.running += 1
-        totals.interval_runs += 0.5
-
-    def record_end(self, route: str, now: float, succeeded: bool = True) -> None:
-        """Count the other half of a run at its end."""
-        totals = self._get_totals(route, now)
-        totals.advance(now)
-        totals.running -= 1
-        totals.interval_runs += 0.5
-        self._interval_ends += 1
-        self._interval_failures += not succeeded
+        counts = self._get_interval(now).counts
+        counts[route] = counts.get(route, 0.0) + 0.5
+
+    def record_end(
+        self, route: str, started_at: float, now: float, succeeded: bool = True
+    ) -> None:
+        """Count the other half of a run at its end.
+
+        Args:
+            route: Route of the run.
+            started_at: When `record_start` counted its start.
+            now: Seconds on the loop's clock.
+            succeeded: Whether the run was answered with success.
+        """
+        interval = self._get_interval(now)
+        interval.counts[route] = interval.counts.get(route, 0.0) + 0.5
+        interval.ends += 1
+        interval.failures += not succeeded
+        since = max(started_at, self._open[0].number * INTERVAL_SECONDS)
+        seconds = now - since
+        if seconds <= 0:
+            interval.shares[route] = interval.shares.get(route, 0.0) + 1.0
+            return
+        for open_interval in self._open:
+            open_interval.add_share(route, since, now, seconds)
 
     def record_call(self, route: str, now: float) -> None:
         """Count a call that the local backend server makes."""
-        self._advance(now)
-        self._interval_calls[route] = self._interval_calls.get(route, 0.0) + 1.0
+        calls = self._get_interval(now).calls
+        calls[route] = calls.get(route, 0.0) + 1.0
 
     def get_ratios(self, now: float) -> dict[str, CallRatios]:
         """Return calls per run, by the run's route and then by the called route.
@@ -133,14 +154,12 @@
         Args:
             now: Seconds on the loop's clock.
         """
-        self._advance(now)
-        runs = sum(totals.runs for totals in self._routes.values())
+        self._get_interval(now)
+        runs = sum(self._runs.values())
         if runs < MIN_RUNS:
             return {}
-        routes = sorted(
-            self._routes, key=lambda name: self._routes[name].runs, reverse=True
-        )[:MAX_FITTED_ROUTES]
-        routes = [name for name in routes if self._routes[name].runs >= MIN_RUNS]
+        routes = sorted(self._runs, key=self._runs.__getitem__, reverse=True)
+        routes = [r for r in routes[:MAX_FITTED_ROUTES] if self._runs[r] >= MIN_RUNS]
         estimates: dict[str, CallRatios] = {"": {}} | {route: {} for route in routes}
         for called, calls in self._calls.items():
             average = calls / runs
@@ -152,87 +171,89 @@
                 estimates[route][called] = round(ratio, 3)
         return estimates
 
-    def _get_totals(self, route: str, now: float) -> _RouteTotals:
-        self._advance(now)
-        totals = self._routes.get(route)
-        if totals is None:
-            totals = self._routes[route] = _RouteTotals(now)
-        return totals
+    def _get_interval(self, now: float) -> _Interval:
+        """Return the current interval; close those that are too old."""
+        number = int(now / INTERVAL_SECONDS)
+        if not self._open:
+            self._open.append(_Interval(number))
+        # After a pause, only the last intervals of it are added: none had any runs.
+        first_new = max(self._open[-1].number + 1, number - OPEN_INTERVALS)
+        for new_number in range(first_new, number + 1):
+            self._count_interval(self._open[-1])
+            self._open.append(_Interval(new_number))
+            if len(self._open) > OPEN_INTERVALS:
+                self._close_interval(self._open.popleft())
+        return self._open[-1]
+
+    def _count_interval(self, interval: _Interval) -> None:
+        """Add the counts of an interval that is over."""
+        if not interval.is_usable:
+            return
+        self._counted_intervals = self._counted_intervals * INTERVAL_DECAY_RATIO + 1.0
+        _decay(self._runs)
+        _decay(self._calls)
+        for route, count in interval.counts.items():
+            self._runs[route] = self._runs.get(route, 0.0) + count
+        for called, calls in interval.calls.items():
+            self._calls[called] = self._calls.get(called, 0.0) + calls
 
-    def _advance(self, now: float) -> None:
-        """Start a new interval if the current one is over."""
-        if now - self._interval_started_at < INTERVAL_SECONDS:
+    def _close_interval(self, interval: _Interval) -> None:
+        """Add an interval to the sums of the regression."""
+        if not interval.is_usable:
             return
-        for totals in self._routes.values():
-            totals.advance(now)
-        if (
-            self._interval_started_at
-            and self._interval_failures <= MAX_FAILED_RATIO * self._interval_ends
-        ):
-            self._add_interval()
-        # Intervals skipped during a pause had no starts, ends or calls.
-        self._interval_started_at = now
-        self._interval_calls = {}
-        self._interval_ends = self._interval_failures = 0
-        for totals in self._routes.values():
-            totals.interval_seconds = 0.0
-            totals.interval_runs = 0.0
-
-    def _add_interval(self) -> None:
-        seconds: dict[str, float] = {}
-        for name, totals in list(self._routes.items()):
-            if totals.interval_seconds:
-                seconds[name] = totals.interval_seconds
-            totals.seconds = totals.seconds * INTERVAL_DECAY_RATIO
-            totals.seconds += totals.interval_seconds
-            totals.runs = totals.runs * INTERVAL_DECAY_RATIO + totals.interval_runs
-            if not totals.running and totals.runs < 1e-3:
-                del self._routes[name]
-        for sums in (self._calls, self._run_run_products, self._run_call_products):
-            _decay(sums)
-        self._total_weight = self._total_weight * INTERVAL_DECAY_RATIO + 1.0
-        for name, route_seconds in seconds.items():
-            for other, other_seconds in seconds.items():
-                pair = (name, other)
+        self._fitted_intervals = self._fitted_intervals * INTERVAL_DECAY_RATIO + 1.0
+        _decay(self._run_run_products)
+        _decay(self._run_call_products)
+        for route, runs in interval.shares.items():
+            for other, other_runs in interval.shares.items():
+                pair = (route, other)
                 self._run_run_products[pair] = (
-                    self._run_run_products.get(pair, 0.0)
-                    + route_seconds * other_seconds
+                    self._run_run_products.get(pair, 0.0) + runs * other_runs
                 )
-            for called, calls in self._interval_calls.items():
-                pair = (name, called)
+            for called, calls in interval.calls.items():
+                pair = (route, called)
                 self._run_call_products[pair] = (
-                    self._run_call_products.get(pair, 0.0) + route_seconds * calls
+                    self._run_call_products.get(pair, 0.0) + runs * calls
                 )
-        for called, calls in self._interval_calls.items():
-            self._calls[called] = self._calls.get(called, 0.0) + calls
 
     def _fit(self, routes: list[str], called: str, average: float) -> list[float]:
         """Return the calls to one route per run of each route."""
-        # The unknowns are calls per second in flight. The variance of the calls in an
-        # interval is about their number.
-        variance = self._calls[called] / self._total_weight
-        mean_seconds = [self._routes[name].mean_seconds for name in routes]
-        average_rates = [average / seconds for seconds in mean_seconds]
-        shortage = MIN_RELIABLE_INTERVALS / self._total_weight
-        ridge_weight = RIDGE_WEIGHT * (1.0 + shortage**2)
-        ridges = [ridge_weight * variance / rate**2 for rate in average_rates]
+        if not self._fitted_intervals:
+            return [average] * len(routes)
+        # The variance of the calls in an interval is about their number.
+        variance = self._calls[called] / self._counted_intervals
+        shortage = MIN_RELIABLE_INTERVALS / self._fitted_intervals
+        ridge = RIDGE_WEIGHT * (1.0 + shortage**2) * variance / average**2
         matrix = [
             [
                 self._run_run_products.get((row_route, other), 0.0)
-                + ridges[row] * (row_route == other)
+                + ridge * (row_route == other)
                 for other in routes
             ]
-            for row, row_route in enumerate(routes)
+            for row_route in routes
         ]
         right_side = [
-            self._run_call_products.get((row_route, called), 0.0)
-            + ridges[row] * average_rates[row]
-            for row, row_route in enumerate(routes)
-        ]
-        rates = solve(matrix, right_side)
-        return [
-            rate * seconds for rate, seconds in zip(rates, mean_seconds, strict=True)
+            self._run_call_products.get((row_route, called), 0.0) + ridge * average
+            for row_route in routes
         ]
+        ratios = solve(matrix, right_side)
+        return self._scale(routes, ratios, average)
+
+    def _scale(
+        self, routes: list[str], ratios: list[float], average: float
+    ) -> list[float]:
+        """Return the ratios in proportion, so that their average is as counted.
+
+        The regression leaves out runs that have not ended, which matters while the
+        load rises.
+        """
+        runs = [self._runs[route] for route in routes]
+        fitted = sum(ratio * count for ratio, count in zip(ratios, runs, strict=True))
+        counted = average * sum(runs)
+        if fitted <= 0:
+            return [average] * len(routes)
+        scale = min(MAX_SCALE, max(1 / MAX_SCALE, counted / fitted))
+        return [scale * ratio for ratio in ratios]
 
 
 def solve(
--- a/tests/test_call_ratios.py
+++ b/tests/test_call_ratios.py
@@ -30,24 +30,34 @@
         until: Seconds after which nothing is recorded.
     """
     rng = random.Random(seed)
-    events: list[tuple[float, str, str]] = []
+    # Time, kind, route, and start of the run.
+    events: list[tuple[float, str, str, float]] = []
     for route, rate in rates.items():
         started_at = rng.expovariate(rate)
         while started_at < duration:
             ended_at = started_at + mean_run_seconds * rng.uniform(0.5, 1.5)
-            events.append((started_at, "start", route))
-            events.append((ended_at, "end", route))
+            events.append((started_at, "start", route, started_at))
+            events.append((ended_at, "end", route, started_at))
             called, count = calls.get(route, ("", 0))
             for index in range(count):
                 time = started_at + (ended_at - started_at) * (index + 0.5) / count
-                events.append((time, "call", called))
+                events.append((time, "call", called, started_at))
             started_at += rng.expovariate(rate)
+    return replay([event for event in events if event[0] < until])
+
+
+def replay(events: list[tuple[float, str, str, float]]) -> CallRatioEstimator:
+    """Return an estimator that recorded some events.
+
+    Args:
+        events: Time, kind, route, and start of the run, in any order.
+    """
     estimator = CallRatioEstimator()
-    for time, kind, route in sorted(event for event in events if event[0] < until):
+    for time, kind, route, started_at in sorted(events):
         if kind == "start":
             estimator.record_start(route, time)
         elif kind == "end":
-            estimator.record_end(route, time)
+            estimator.record_end(route, started_at, time)
         else:
             estimator.record_call(route, time)
     return estimator
@@ -122,8 +132,8 @@
     while now < 23.0:
         estimator.record_start("index", now)
         estimator.record_call("lookup", now + 0.002)
-        now += rng.expovariate(100.0)
-        estimator.record_end("index", now, succeeded=False)
+        started_at, now = now, now + rng.expovariate(100.0)
+        estimator.record_end("index", started_at, now, succeeded=False)
     ratios = estimator.get_ratios(now)
     assert ratios["index"]["lookup"] == pytest.approx(4.0, rel=0.1)
 
@@ -140,6 +150,37 @@
     assert estimator.get_ratios(0.6)[""]["deep"] < 2.0 * 1.5
 
 
+def simulate_congestion(seed: int) -> CallRatioEstimator:
+    """Return an estimator after look-ups that make four calls one after the other, now
+    quickly, now slowly, beside a few uploads that make none.
+    """
+    rng = random.Random(seed)
+    events: list[tuple[float, str, str, float]] = []
+    for route, rate, call_count in (("index", 92.0, 4), ("upload", 2.7, 0)):
+        started_at = 0.0
+        while (started_at := started_at + rng.expovariate(rate)) < 16.0:
+            slowdown = 2.5 + 1.5 * math.sin(0.9 * started_at)
+            gap = 0.045 * slowdown if call_count else 0.19
+            times = [started_at + 0.008 + gap * n for n in range(call_count)]
+            ended_at = (times[-1] if times else started_at) + gap
+            events.append((started_at, "start", route, started_at))
+            events += [(time, "call", "lookup", started_at) for time in times]
+            events.append((ended_at, "end", route, started_at))
+    return replay(events)
+
+
+def test_uploads_make_no_calls_while_look_ups_become_slower():
+    """Guards against taking the calls of look-ups for those of uploads while the
+    service that look-ups call is congested: then they make their calls more slowly.
+    Mean over eight nodes, as admission sees them.
+    """
+    ratios = [simulate_congestion(seed).get_ratios(16.0) for seed in range(8)]
+    index = sum(node["index"]["lookup"] for node in ratios) / len(ratios)
+    upload = sum(node["upload"]["lookup"] for node in ratios) / len(ratios)
+    assert index == pytest.approx(4.0, rel=0.1)
+    assert abs(upload) < 1.0
+
+
 def test_early_estimate_is_the_average():
     """Two seconds after its start, a node has too little data to separate routes."""
     rates = {"upload": 3.0, "index": 40.0}
