Tell in logs and metrics what limit a backend server states and what it is sent

Change: the platform's adapter decodes the header of answers; event 327 names the limit at each change and once a second, with the requests sent; a counter of the requests sent and a gauge of the limit. What is sent is not limited yet. An invalid value is logged once and leaves the last limit in force; an answer to a call sent before the last statement does not end the limit.

--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -219,6 +219,14 @@
     "start there; the others go elsewhere, wait, or are refused as not run. The field "
     "`assumed` says whether the server is only taken for cold until it says otherwise.",
 )
+BACKEND_LIMIT = _define(
+    327,
+    "info",
+    "backend server limits its requests",
+    "Its answers state that it takes `calls_per_second` requests from all nodes "
+    "together; 0 once they no longer do. Logged at each change, and every second while "
+    "a limit is in force; `sent` counts the requests since the last second's line.",
+)
 PEER_EJECTED = _define(
     330,
     "info",
--- a/primroseglade/platform/dialect.py
+++ b/primroseglade/platform/dialect.py
@@ -9,6 +9,7 @@
 from ..sidecar.http_messages import render_status_line, Reply, Request
 from ..sidecar.request_handler import CallerFields
 from ..verdicts import Reason, Refusal, Verdict
+from .backend_statements import parse_request_limit
 from .names import (
     AUTHORIZATION,
     CALLER_SERVICE,
@@ -23,6 +24,7 @@
     NOT_EXECUTED,
     REMAINING_MS,
     REQUEST_ID,
+    REQUEST_LIMIT,
     SIGNATURE,
     TENANT,
 )
@@ -128,6 +130,7 @@
         """Return the fields of a backend server's response, and the head to forward."""
         request_id = b""
         signed = not_executed = False
+        limits: list[bytes] = []
         dropped = DROPPED_FROM_RESPONSES
         lines = [render_status_line(answer.status)]
         for name, value in answer.headers:
@@ -138,6 +141,8 @@
                 signed = True
             elif lower == NOT_EXECUTED:
                 not_executed = True
+            elif lower == REQUEST_LIMIT:
+                limits.append(value)
             elif lower == CONNECTION:
                 dropped = dropped | _split_tokens(value)
         lines += [
@@ -145,7 +150,13 @@
             for header in answer.headers
             if header[0].lower() not in dropped
         ]
-        return ParsedAnswerHead(b"".join(lines), request_id, signed, not_executed)
+        return ParsedAnswerHead(
+            b"".join(lines),
+            request_id,
+            signed,
+            not_executed,
+            parse_request_limit(limits),
+        )
 
     def render_health_check(self, path: str, address: str) -> bytes:
         """Return a health check; ``address`` is that of the backend server."""
--- a/primroseglade/platform/names.py
+++ b/primroseglade/platform/names.py
@@ -14,6 +14,9 @@
 AUTHORIZATION = b"authorization"
 # The scheme before an API key in Authorization, with the space that follows it.
 KEY_SCHEME = b"token "
+# In answers of a backend server that is short of resources: the requests per second
+# that it takes from all nodes together, for as long as its answers say so.
+REQUEST_LIMIT = b"server-limit"
 HOST = b"host"
 CONNECTION = b"connection"
 # In answers to health checks only.
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -9,6 +9,7 @@
     BACKEND_ANNOUNCED,
     BACKEND_COLD,
     BACKEND_DRAINING,
+    BACKEND_LIMIT,
     BACKEND_REPORT_REFUSED,
     BACKEND_UNAVAILABLE,
     Journal,
@@ -24,6 +25,7 @@
 from .http_messages import MIN_FAILURE_STATUS
 from .load_balancing import Candidate
 from .model import BackendState, StatusReport
+from .request_limit import RequestLimit, StatedLimit
 from .warm_up import WarmUp
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -40,6 +42,8 @@
 # Maximum delay of a status report. The first report of a backend server may arrive this
 # long after a request to drain it.
 MAX_REPORT_DELAY_SECONDS = 10.0
+# Status of an answer from another instance than the call names.
+MISDIRECTED_STATUS = 421
 EVACUATED_DETAIL = "the backend server's zone is evacuated"
 
 
@@ -51,17 +55,24 @@
         request_id: ID of the request that the answer names; empty if none.
         signed: Whether the answer carries the backend server's signature.
         not_executed: Whether the answer states that the request was not executed.
+        request_limit: Limit on requests that the answer states; None if it states none.
     """
 
-    __slots__ = ("head", "not_executed", "request_id", "signed")
+    __slots__ = ("head", "not_executed", "request_id", "request_limit", "signed")
 
     def __init__(
-        self, head: bytes, request_id: bytes, signed: bool, not_executed: bool
+        self,
+        head: bytes,
+        request_id: bytes,
+        signed: bool,
+        not_executed: bool,
+        request_limit: StatedLimit | None = None,
     ):
         self.head = head
         self.request_id = request_id
         self.signed = signed
         self.not_executed = not_executed
+        self.request_limit = request_limit
 
 
 class BackendDialect(Protocol):
@@ -148,6 +159,9 @@
         self._failure_ratio = FailureRatio(time.monotonic)
         self.pool = ConnectionPool(address, CONNECT_TIMEOUT_SECONDS, self.assume_cold)
         self.warm_up = warm_up
+        self.request_limit = RequestLimit()
+        self._logged_sent_count = 0
+        self._logged_limit_error = ""
         self.queue = BackendQueue(1, warm_up)
 
     @property
@@ -394,6 +408,7 @@
         self._draining = True
         self._failure_ratio.reset()
         self.warm_up.record_cold_time(0.0)
+        self.request_limit.reset()
         self.queue.resize(report.slots)
 
     def assume_cold(self) -> None:
@@ -453,6 +468,35 @@
             assumed=self.warm_up.is_assumed,
         )
 
+    def log_request_limit(self) -> None:
+        """Log the limit that the backend server states, and the requests sent to it."""
+        sent_count = self.request_limit.sent_count
+        if self.request_limit.rate:
+            self._log_request_limit()
+        self._logged_sent_count = sent_count
+
+    def _log_request_limit(self) -> None:
+        self._journal.emit(
+            BACKEND_LIMIT,
+            backend=self._report and self._report.instance,
+            calls_per_second=self.request_limit.rate,
+            sent=self.request_limit.sent_count - self._logged_sent_count,
+        )
+
+    def _record_stated_limit(self, stated: StatedLimit | None, sent_at: float) -> None:
+        """Record the limit on requests that an answer states.
+
+        Args:
+            stated: The limit; None if the answer states none.
+            sent_at: ``time.monotonic()`` when the answered call was sent.
+        """
+        error = stated.error if stated is not None else ""
+        if error and error != self._logged_limit_error:
+            self._logged_limit_error = error
+            self._journal.emit(VALUE_IGNORED, service=self._service, reason=error)
+        if self.request_limit.record_statement(stated, sent_at):
+            self._log_request_limit()
+
     def _mark_unavailable(self) -> None:
         """Accept no calls for a backend server that has crashed, and announce it.
 
@@ -504,6 +548,8 @@
             _check_remaining_time(remaining)
             request = self._dialect.finish_request(call, remaining)
             self.warm_up.record_start(slot)
+            self.request_limit.record_start()
+            sent_at = time.monotonic()
             answer = await connection.exchange(
                 request, is_answer_to_call, call.head.startswith(b"HEAD ")
             )
@@ -515,6 +561,8 @@
         finally:
             self.pool.release(connection)
         assert parsed is not None
+        if answer.status != MISDIRECTED_STATUS and call.instance == self.instance:
+            self._record_stated_limit(parsed.request_limit, sent_at)
         return self._classify_answer(answer, parsed)
 
     def _classify_answer(
@@ -527,9 +575,9 @@
         Raises:
             Refusal: The answer is a refusal, or its signature is missing.
         """
-        if parsed.not_executed or answer.status == 421:
+        if parsed.not_executed or answer.status == MISDIRECTED_STATUS:
             self._failure_ratio.record(True)
-            if answer.status == 421:
+            if answer.status == MISDIRECTED_STATUS:
                 # Another backend server has the address; the next report names it.
                 self._draining = True
                 raise BackendRefusal(
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -69,6 +69,7 @@
 # off.
 DEADLINE_CHECK_GRACE_RATIO = 0.45
 DRAIN_POLL_SECONDS = 0.05
+LIMIT_LOG_INTERVAL_SECONDS = 1.0
 # Reserved at the end of the grace period for the exit of the process on a machine short
 # of processor time; a larger margin would cut off calls that are about to be answered.
 STOP_MARGIN_SECONDS = 0.85
@@ -446,6 +447,9 @@
         scheduler.add(self.rates.renew_lease)
         scheduler.add(self._peer_monitor.poll_policy_age, READER_POLL_SECONDS)
         scheduler.add(self.rates.monitor.log_buckets, RATE_LOG_INTERVAL_SECONDS)
+        scheduler.add(
+            lambda _: self.backend.log_request_limit(), LIMIT_LOG_INTERVAL_SECONDS
+        )
         scheduler.add(
             lambda _: log_cross_zone_bytes(self.cross_zone_bytes, self._journal),
             CROSS_ZONE_LOG_INTERVAL_SECONDS,
--- a/primroseglade/sidecar/node_metrics.py
+++ b/primroseglade/sidecar/node_metrics.py
@@ -133,6 +133,11 @@
                 [route], _build_cumulative_buckets(histogram), histogram.total_seconds
             )
         yield latency
+        yield core.CounterMetricFamily(
+            METRIC_PREFIX + "backend_requests",
+            "Requests sent to the backend server.",
+            value=node.backend.request_limit.sent_count,
+        )
         cross_zone_bytes = core.CounterMetricFamily(
             METRIC_PREFIX + "zone_bytes",
             "Bytes sent to other availability zones.",
@@ -214,6 +219,12 @@
             "Seconds for which the backend server is still cold, or may be.",
             backend.warm_up.remaining_seconds,
         ),
+        (
+            "backend_request_limit",
+            "Requests per second that the backend server states that it takes; 0 for "
+            "no limit.",
+            backend.request_limit.rate,
+        ),
         (
             "evacuated_zones",
             "Availability zones that operators have evacuated.",
--- a/primroseglade/stand_ins/mesh_backend.py
+++ b/primroseglade/stand_ins/mesh_backend.py
@@ -31,6 +31,8 @@
         cold_until: ``time.monotonic()`` until which it says that it is cold.
         executed_request_ids: Ids of the requests that began to run.
         executed_at: ``time.monotonic()`` at which each of them began.
+        request_limit: Limit on requests per second that its answers state; empty for
+            none.
         health_checks: Number of health checks.
         cancelled: Number of requests that were cancelled while they ran.
         seen_headers: Headers of all requests, also of those refused as misdirected.
@@ -58,6 +60,7 @@
         self.cold_until = 0.0
         self.executed_request_ids: list[str] = []
         self.executed_at: list[float] = []
+        self.request_limit = ""
         self.health_checks = 0
         self.cancelled = 0
         self.seen_headers: list[dict[str, str]] = []
@@ -163,5 +166,12 @@
             render_status_line(200)
             + f"X-Primroseglade-Request-Id: {request_id}\r\n".encode()
             + b"X-Primroseglade-Upstream-Seal: s1\r\n"
+            + self._render_statements()
         )
         return Reply(head, body)
+
+    def _render_statements(self) -> bytes:
+        """Return the headers that state something about the backend server."""
+        if not self.request_limit:
+            return b""
+        return f"Server-Limit: {self.request_limit}\r\n".encode()
