Let the queue of a backend server meet several limits on starts

Cause: the queue knows one limit, that of a cold backend server, by its class. A second one would stand beside it in each place. Change: the queue asks a sequence of limits with a common interface; the strictest one gives the reason of a refusal. A timer that waits for a start is moved forward when a limit rises.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -162,7 +162,7 @@
         self.request_limit = RequestLimit()
         self._logged_sent_count = 0
         self._logged_limit_error = ""
-        self.queue = BackendQueue(1, warm_up)
+        self.queue = BackendQueue(1, (warm_up,))
 
     @property
     def service(self) -> str:
@@ -547,7 +547,7 @@
             remaining = deadline - time.monotonic()
             _check_remaining_time(remaining)
             request = self._dialect.finish_request(call, remaining)
-            self.warm_up.record_start(slot)
+            self.queue.record_start(slot)
             self.request_limit.record_start()
             sent_at = time.monotonic()
             answer = await connection.exchange(
--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -9,9 +9,10 @@
 import heapq
 import itertools
 import time
+from collections.abc import Sequence
 
 from ..verdicts import not_run, Reason
-from .warm_up import WarmUp
+from .start_limit import StartLimit
 
 # Concurrency limit, as a fraction of the backend server's slots. A backend server slows
 # down when nearly all of its slots are taken: using the last ones reduces throughput.
@@ -53,12 +54,11 @@
     Args:
         slots: Calls that the backend server can run concurrently. The concurrency limit
             is a fraction of them (`CONCURRENCY_LIMIT_RATIO`).
-        warm_up: Limits the calls that start while the backend server is cold; None for
-            no limit.
+        start_limits: Limits on the calls that start, all of which must be met.
     """
 
-    def __init__(self, slots: int, warm_up: WarmUp | None = None):
-        self._warm_up = warm_up
+    def __init__(self, slots: int, start_limits: Sequence[StartLimit] = ()):
+        self._start_limits = start_limits
         self._start_timer: asyncio.TimerHandle | None = None
         self._concurrency_limit = 1
         self._running = 0
@@ -163,9 +163,9 @@
             MAX_NESTED_QUEUED_PER_SLOT if nested else MAX_QUEUED_PER_SLOT
         )
         if self._queued >= self._concurrency_limit * max_queued_per_slot:
-            is_cold = self._get_start_delay(self._queued) > 0
+            strictest_limit = self._find_strictest_limit(self._queued)
             raise not_run(
-                Reason.BACKEND_COLD if is_cold else Reason.OVERLOADED,
+                strictest_limit.reason if strictest_limit else Reason.OVERLOADED,
                 f"queue is full: {self._queued} calls",
             )
         sort_time = now + LATENCY_TARGET_WEIGHT * max(0.0, latency_target)
@@ -185,9 +185,11 @@
             start_delay > expected_wait
             and start_delay + self._service_seconds > max_response_seconds
         ):
+            strictest_limit = self._find_strictest_limit(calls_ahead)
+            assert strictest_limit is not None
             raise not_run(
-                Reason.BACKEND_COLD,
-                f"the backend server is cold: {calls_ahead} calls ahead, "
+                strictest_limit.reason,
+                f"{strictest_limit.describe()}: {calls_ahead} calls ahead, "
                 f"start in {start_delay:.1f} s",
             )
         if expected_wait + self._service_seconds > max_response_seconds:
@@ -217,6 +219,16 @@
         finally:
             timer.cancel()
 
+    def record_start(self, slot: int | None = None) -> None:
+        """Record that a request is sent to the backend server.
+
+        Args:
+            slot: ID of the call's slot; None for a request without one, which is not
+                queued.
+        """
+        for limit in self._start_limits:
+            limit.record_start(slot)
+
     def refuse_queued_calls(self, reason: Reason, detail: str) -> None:
         """Refuse all queued calls as not run, so that they are sent elsewhere."""
         waiters, self._waiters = self._waiters, []
@@ -238,8 +250,8 @@
         """
         self._integrate_in_flight(time.monotonic())
         del self._slot_acquired_at[slot]
-        if self._warm_up is not None:
-            self._warm_up.cancel_start(slot)
+        for limit in self._start_limits:
+            limit.cancel_start(slot)
         self._record_service_time(seconds, completed)
         if slot in self._reclaimed_slots:
             self._reclaimed_slots.discard(slot)
@@ -263,20 +275,38 @@
         self._has_measurement = True
 
     def _get_start_delay(self, calls_ahead: int = 0) -> float:
-        """Return the seconds until a call may start at a cold backend server."""
-        if self._warm_up is None:
-            return 0.0
-        return self._warm_up.get_start_delay(calls_ahead)
+        """Return the seconds until all limits let a call start."""
+        delay = 0.0
+        for limit in self._start_limits:
+            delay = max(delay, limit.get_start_delay(calls_ahead))
+        return delay
+
+    def _find_strictest_limit(self, calls_ahead: int) -> StartLimit | None:
+        """Return the limit that delays a call most, or None if none delays it."""
+        strictest = max(
+            self._start_limits,
+            key=lambda limit: limit.get_start_delay(calls_ahead),
+            default=None,
+        )
+        if strictest is None or not strictest.get_start_delay(calls_ahead):
+            return None
+        return strictest
 
     def _schedule_start(self) -> None:
-        """Start the next queued call as soon as the cold backend server tolerates it.
+        """Start the next queued call as soon as all limits let it start.
 
         Without a delay, the call starts when a slot is released.
         """
         delay = self._get_start_delay()
-        if delay and self._start_timer is None:
-            loop = asyncio.get_running_loop()
-            self._start_timer = loop.call_later(delay, self._start_after_delay)
+        if not delay:
+            return
+        loop = asyncio.get_running_loop()
+        if self._start_timer is not None:
+            if self._start_timer.when() <= loop.time() + delay:
+                return
+            # A limit has been raised.
+            self._start_timer.cancel()
+        self._start_timer = loop.call_later(delay, self._start_after_delay)
 
     def _start_after_delay(self) -> None:
         self._start_timer = None
@@ -284,8 +314,8 @@
 
     def _take_slot(self, now: float) -> int:
         slot = next(self._ids)
-        if self._warm_up is not None:
-            self._warm_up.reserve_start(slot)
+        for limit in self._start_limits:
+            limit.reserve_start(slot)
         self._slot_acquired_at[slot] = now
         self._running += 1
         return slot
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -152,7 +152,7 @@
             dialect,
             lambda: self.policies.get_health_path(settings.service),
             lambda: bool(self.backend.instance) and self.backend.warm_up.is_assumed,
-            self.backend.warm_up.record_start,
+            self.backend.queue.record_start,
             self.backend.record_health,
         )
         self.fleet = Fleet(self, self._supervisor, journal, self._rng)
--- a/primroseglade/sidecar/warm_up.py
+++ b/primroseglade/sidecar/warm_up.py
@@ -10,6 +10,8 @@
 import math
 from collections.abc import Callable
 
+from ..verdicts import Reason
+
 # The limit holds for any span of this length.
 START_WINDOW_SECONDS = 1.0
 # Starts stay limited this long after the end of the warm-up as it was reported: reports
@@ -86,6 +88,11 @@
         """Calls per second that may start; 0 while starts are not limited."""
         return self._start_limit if self.remaining_seconds > 0 else 0.0
 
+    @property
+    def reason(self) -> Reason:
+        """Reason of a refusal because starts are limited."""
+        return Reason.BACKEND_COLD
+
     @property
     def max_seconds(self) -> float | None:
         """Longest time for which the backend server can be cold; None if unknown."""
@@ -105,6 +112,10 @@
         rate = limits.calls_per_second * self._overshoot
         return max(1, math.floor(rate * START_WINDOW_SECONDS))
 
+    def describe(self) -> str:
+        """Return why starts are limited."""
+        return "the backend server is cold"
+
     def record_cold_time(self, seconds: float) -> None:
         """Record for how long the backend server says that it is still cold."""
         self._is_assumed = False
@@ -130,14 +141,7 @@
         self._cold_until = max(self._cold_until, self._clock() + limits.max_seconds)
 
     def reserve_start(self, slot: int) -> None:
-        """Reserve a start for a call that is sent as soon as it has a connection.
-
-        Until it is sent, it counts towards the limit. Otherwise calls that wait for
-        connections could be sent all at once, together with later ones.
-
-        Args:
-            slot: ID of the call's slot.
-        """
+        """Reserve a start for a call that is sent as soon as it has a connection."""
         self._reserved.add(slot)
 
     def cancel_start(self, slot: int) -> None:
