Keep to the limit on requests that a backend server states

What callers saw: nothing. Cause: a statement of a backend server about itself in its answers is handed on to callers and read by nobody. The class: the node learned what its backend server can take from status reports, the operator's configuration and its own measurements only. Evidence: event 327 with a stated limit of 8 showed 40 requests a second sent before, during and after it. Ruled out: limits that each node keeps by itself (no fall), limits that are lost again (no fall, no rise). Change: all calls of a backend server pass through the node beside it, so that one token bucket there keeps the limit for the whole fleet, and the sum needs no agreement between nodes. Calls beyond it wait for a token or are refused as not run and tried elsewhere. The limit is broadcast: load balancing and admission count it, and a limited backend server without calls for a second is sent one, as the end of a limit shows in answers only. A node that has just started lets 8 calls and then 4 a second start until the first answer: its backend server may have stated a limit to its former process.

--- a/primroseglade/observe/explain.py
+++ b/primroseglade/observe/explain.py
@@ -12,6 +12,7 @@
 from .events import (
     ADMISSION_LEVELS,
     BACKEND_COLD,
+    BACKEND_LIMIT,
     CALL_ANSWERED,
     CALL_FAILED,
     CALL_REFUSED,
@@ -194,6 +195,29 @@
     return cold_lines, f"{text}. The request did not run."
 
 
+@_finds_cause_of(CALL_REFUSED.number, "backend-limited")
+def _explain_limit(last: LogLine, nearby: list[LogLine], lines: list[LogLine]) -> Cause:
+    limit_lines = [
+        line
+        for line in lines
+        if line.number == BACKEND_LIMIT.number
+        and abs(line.time - last.time) <= CONTEXT_WINDOW_SECONDS
+        and line.get("calls_per_second")
+    ]
+    text = (
+        "Backend servers that the request needs limited the requests that they take: "
+        f"{last.get('detail')}"
+    )
+    if limit_lines:
+        limits = {
+            line.instance: f"{line.get('calls_per_second'):g} a second beside "
+            f"{line.instance}"
+            for line in limit_lines
+        }
+        text += f". Stated at about that time: {', '.join(sorted(limits.values()))}"
+    return limit_lines[-1:], f"{text}. The request did not run."
+
+
 @_finds_cause_of(CALL_REFUSED.number, "zone-evacuated", "no-backend-server")
 def _explain_evacuation(
     last: LogLine, nearby: list[LogLine], lines: list[LogLine]
--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -68,6 +68,8 @@
         "_cold_count",
         "_cold_rate",
         "_cold_seconds",
+        "_limited_count",
+        "_limited_rate",
         "_sums",
         "_sums_without_slot_time",
         "_warm_count",
@@ -88,13 +90,17 @@
         self._cold_count = 0
         self._cold_rate = 0.0
         self._cold_seconds = 0.0
+        # Of backend servers that limit their requests: their number, and the sum of the
+        # requests per second that they take.
+        self._limited_count = 0
+        self._limited_rate = 0.0
 
     @property
     def capacity(self) -> float:
         """Estimated throughput in calls per second; 0 while no slot time is known."""
         if self._warm_count and not self._sums[1]:
             return 0.0
-        return self._sums[1] * 1000 + self._cold_rate
+        return self._sums[1] * 1000 + self._cold_rate + self._limited_rate
 
     @property
     def warm_up_seconds(self) -> float:
@@ -102,7 +108,7 @@
 
         This is the average of the seconds for which the cold ones stay cold.
         """
-        if self._cold_count <= self._warm_count:
+        if self._cold_count <= self._warm_count + self._limited_count:
             return 0.0
         return self._cold_seconds / self._cold_count
 
@@ -110,9 +116,10 @@
     def utilization(self) -> float:
         """Calls in flight, running and queued, per slot.
 
-        If all backend servers are cold this is 1: starts are limited, and not slots.
+        If all backend servers are cold or limit their requests this is 1: starts are
+        limited, and not slots.
         """
-        if self._cold_count and not self._warm_count:
+        if (self._cold_count or self._limited_count) and not self._warm_count:
             return 1.0
         weighted_utilization, total_weight = (
             self._sums if self._sums[1] else self._sums_without_slot_time
@@ -130,6 +137,23 @@
         self._cold_rate += start_rate
         self._cold_seconds += cold_seconds
 
+    def add_limited(
+        self, request_limit: float, in_flight: float, slots: float, slot_ms: float
+    ) -> None:
+        """Add a backend server that limits its requests.
+
+        Args:
+            request_limit: Requests per second that it takes.
+            in_flight: Running and queued calls.
+            slots: Calls that it can run concurrently.
+            slot_ms: Average milliseconds for which a call holds a slot; 0 before the
+                first call.
+        """
+        self._limited_count += 1
+        self.queued += max(0.0, in_flight - slots)
+        slots_rate = slots / slot_ms * 1000 if slot_ms else request_limit
+        self._limited_rate += min(request_limit, slots_rate)
+
     def add(self, in_flight: float, slots: float, slot_ms: float) -> None:
         """Add a backend server at which starts are not limited.
 
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -1,6 +1,7 @@
 """State of the local backend server, and the calls that this node runs on it."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -117,6 +118,7 @@
         dialect: Builds requests and parses answers.
         call_ratios: Counts the calls that the backend server runs, by route.
         warm_up: Tracks whether the backend server is cold.
+        request_limit: Tracks the limit on requests that the backend server states.
         journal: Logs changes of state.
         broadcast_state: Announces the state of this node to the others at once.
         request_health_check: Starts health checks, to learn whether the backend server
@@ -130,6 +132,7 @@
         dialect: BackendDialect,
         call_ratios: CallRatioEstimator,
         warm_up: WarmUp,
+        request_limit: RequestLimit,
         journal: Journal,
         broadcast_state: Callable[[], None],
         request_health_check: Callable[[], None],
@@ -159,10 +162,10 @@
         self._failure_ratio = FailureRatio(time.monotonic)
         self.pool = ConnectionPool(address, CONNECT_TIMEOUT_SECONDS, self.assume_cold)
         self.warm_up = warm_up
-        self.request_limit = RequestLimit()
+        self.request_limit = request_limit
         self._logged_sent_count = 0
         self._logged_limit_error = ""
-        self.queue = BackendQueue(1, (warm_up,))
+        self.queue = BackendQueue(1, (warm_up, request_limit))
 
     @property
     def service(self) -> str:
@@ -188,8 +191,12 @@
         """Slots to announce to other nodes: the queue's concurrency limit.
 
         The limit is a fraction of the backend server's own slots. Only a part of it is
-        announced while the backend server is cold, unless starts are limited then.
+        announced while the backend server is cold, unless starts are limited then; and
+        what the calls occupy that it takes if it states a limit on them.
         """
+        if self.request_limit.rate:
+            occupied = math.ceil(self.request_limit.rate * self.queue.slot_seconds)
+            return min(self.queue.concurrency_limit, max(1, occupied))
         if self.warm_up.remaining_seconds > 0 and not self.warm_up.start_rate:
             return max(1, int(self.queue.concurrency_limit * COLD_CAPACITY_RATIO))
         return self.queue.concurrency_limit
@@ -234,6 +241,8 @@
             self.service_ms,
             self.failure_ratio,
             start_rate=self.warm_up.start_rate,
+            request_limit=self.request_limit.rate,
+            probe_due=self.request_limit.is_probe_due,
         )
 
     def enable(self) -> None:
@@ -496,6 +505,8 @@
             self._journal.emit(VALUE_IGNORED, service=self._service, reason=error)
         if self.request_limit.record_statement(stated, sent_at):
             self._log_request_limit()
+            self.queue.start_queued_calls()
+            self._broadcast_state()
 
     def _mark_unavailable(self) -> None:
         """Accept no calls for a backend server that has crashed, and announce it.
@@ -547,8 +558,11 @@
             remaining = deadline - time.monotonic()
             _check_remaining_time(remaining)
             request = self._dialect.finish_request(call, remaining)
+            was_probe_due = self.request_limit.is_probe_due
             self.queue.record_start(slot)
-            self.request_limit.record_start()
+            if was_probe_due:
+                # One call is enough as a probe.
+                self._broadcast_state()
             sent_at = time.monotonic()
             answer = await connection.exchange(
                 request, is_answer_to_call, call.head.startswith(b"HEAD ")
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -47,6 +47,10 @@
             start_rate = peer.start_rate
             if start_rate:
                 load.add_cold(start_rate, peer.cold_seconds)
+            elif state.request_limit:
+                load.add_limited(
+                    state.request_limit, state.in_flight, state.slots, state.slot_ms
+                )
             else:
                 load.add(state.in_flight, state.slots, state.slot_ms)
             self.record_cost(
@@ -80,6 +84,8 @@
         peer.failure_ratio,
         downstream_cost_ms,
         peer.start_rate,
+        state.request_limit,
+        state.probe_due,
     )
 
 
--- a/primroseglade/sidecar/load_balancing.py
+++ b/primroseglade/sidecar/load_balancing.py
@@ -33,6 +33,9 @@
 # capacity, whatever its cost. Without them, a backend server that was slow or failing
 # would get no calls, and its recovery would go unnoticed.
 EXPLORATION_RATIO = 0.02
+# Fraction of calls sent to a backend server of the same zone that needs one to show
+# whether it still limits its requests. The first such call ends the need.
+PROBE_RATIO = 0.1
 # Utilization below which a backend server has spare capacity for calls sent at random.
 EXPLORATION_MAX_UTILIZATION = 0.7
 
@@ -52,6 +55,8 @@
             makes if it runs there (`zone_costs.py`).
         start_rate: Calls per second that may start there while the backend server is
             cold; 0 if starts are not limited.
+        request_limit: Calls per second that the backend server takes; 0 for no limit.
+        probe_due: Whether a call is needed to show if that limit is still in force.
     """
 
     __slots__ = (
@@ -59,6 +64,8 @@
         "failure_ratio",
         "in_flight",
         "name",
+        "probe_due",
+        "request_limit",
         "same_zone",
         "service_ms",
         "slots",
@@ -75,6 +82,8 @@
         failure_ratio: float,
         downstream_cost_ms: float = 0.0,
         start_rate: float = 0.0,
+        request_limit: float = 0.0,
+        probe_due: bool = False,
     ):
         self.name = name
         self.same_zone = same_zone
@@ -83,6 +92,8 @@
         self.service_ms = service_ms
         self.failure_ratio = failure_ratio
         self.start_rate = start_rate
+        self.request_limit = request_limit
+        self.probe_due = probe_due
         self.downstream_cost_ms = downstream_cost_ms
 
 
@@ -123,14 +134,24 @@
     True
     >>> estimate_cost_ms(Candidate("cold", True, 20, 2, 15.0, 0.0, start_rate=5.0))
     600.0
+    >>> estimate_cost_ms(Candidate("limited", True, 1, 0, 15.0, 0.0, request_limit=8.0))
+    125.0
     """
     if candidate.start_rate:
         return (candidate.in_flight + 1) / candidate.start_rate * 1000
     utilization = (candidate.in_flight + 1) / max(1, candidate.slots)
     queued_per_slot = max(0.0, utilization - 1.0)
-    return max(1.0, candidate.service_ms) * (
+    cost_ms = max(1.0, candidate.service_ms) * (
         1.0 + min(utilization, 1.0) ** 2 + queued_per_slot
     )
+    return max(cost_ms, _estimate_limited_ms(candidate))
+
+
+def _estimate_limited_ms(candidate: Candidate) -> float:
+    """Return the milliseconds until a stated limit lets a call start; 0 without one."""
+    if not candidate.request_limit:
+        return 0.0
+    return (candidate.in_flight + 1) / candidate.request_limit * 1000
 
 
 def estimate_penalty_ms(candidate: Candidate) -> float:
@@ -149,7 +170,7 @@
         return estimate_cost_ms(candidate)
     utilization = (candidate.in_flight + 1) / max(1, candidate.slots)
     work_ms = max(1.0, candidate.service_ms)
-    cost_ms = work_ms * max(1.0, utilization)
+    cost_ms = max(work_ms * max(1.0, utilization), _estimate_limited_ms(candidate))
     return (
         cost_ms * (1.0 + DOWNSTREAM_FAILURE_COST_RATIO * candidate.failure_ratio)
         - work_ms
@@ -176,6 +197,11 @@
         failure_cost_ms: Result of `compute_failure_cost_ms`.
         rng: Draws the jitter and the calls sent to a random backend server.
     """
+    probe_candidates = [
+        candidate for candidate in same_zone_candidates if candidate.probe_due
+    ]
+    if probe_candidates and rng.random() < PROBE_RATIO:
+        return rng.choice(probe_candidates)
     if len(same_zone_candidates) > 1 and rng.random() < EXPLORATION_RATIO:
         # Only in this zone: nodes of other zones learn of a recovery from broadcasts.
         available = [
--- a/primroseglade/sidecar/load_monitor.py
+++ b/primroseglade/sidecar/load_monitor.py
@@ -83,6 +83,13 @@
             warm_up = backend.warm_up
             if warm_up.start_rate:
                 load.add_cold(warm_up.start_rate, warm_up.remaining_seconds)
+            elif backend.request_limit.rate:
+                load.add_limited(
+                    backend.request_limit.rate,
+                    self.average_in_flight,
+                    backend.slots,
+                    backend.slot_ms,
+                )
             else:
                 load.add(self.average_in_flight, backend.slots, backend.slot_ms)
             cost_ms = estimate_penalty_ms(local_candidate)
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -349,6 +349,9 @@
         evacuated_zones: Availability zones that the operator has evacuated.
         operator_offset: Offset up to which ``evacuated_zones`` includes the operator's
             records in the platform's store.
+        request_limit: Requests per second that the backend server states that it takes
+            from all nodes together; 0 for no limit.
+        probe_due: Whether a call is needed to show if that limit is still in force.
     """
 
     instance: str = ""
@@ -366,6 +369,8 @@
     cold_ms: int = 0
     evacuated_zones: tuple[str, ...] = ()
     operator_offset: int = 0
+    request_limit: float = 0.0
+    probe_due: bool = False
 
     def copy(self) -> "NodeState":
         """Return a shallow copy, to be modified independently."""
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -51,6 +51,7 @@
 from .rate_monitor import RATE_LOG_INTERVAL_SECONDS
 from .rate_tolerance import RateTolerance
 from .request_handler import CallerDialect, RequestHandler
+from .request_limit import RequestLimit
 from .retry_budget import RetryBudget
 from .server_connection import Handler
 from .state_broadcast import BROADCAST_SECONDS, StateBroadcaster
@@ -142,6 +143,7 @@
                 settings.cold_overshoot,
                 time.monotonic,
             ),
+            RequestLimit(assume_limited=not settings.first_start),
             journal,
             self._broadcast_state,
             self._start_health_checks,
@@ -542,6 +544,8 @@
             cold_ms=int(backend.warm_up.remaining_seconds * 1000),
             evacuated_zones=tuple(self.evacuations.zones),
             operator_offset=self.evacuations.offset,
+            request_limit=backend.request_limit.rate,
+            probe_due=backend.request_limit.is_probe_due,
         )
 
     def _estimate_cross_zone_surcharge_ms(self, name: str) -> float:
--- a/primroseglade/verdicts.py
+++ b/primroseglade/verdicts.py
@@ -39,6 +39,7 @@
     REGION_UNAVAILABLE = ("region-unavailable", 503)
     ZONE_EVACUATED = ("zone-evacuated", 503)
     BACKEND_COLD = ("backend-cold", 503)
+    BACKEND_LIMITED = ("backend-limited", 503)
     NO_BACKEND_SERVER = ("no-backend-server", 503)
     OVERLOADED = ("overloaded", 503)
     RATE_UNAVAILABLE = ("rate-unavailable", 503)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -124,6 +124,19 @@
     assert "did not run" in cause
 
 
+def test_refusal_for_a_stated_limit_names_the_node(tmp_path):
+    """A backend server limits its requests; only the node beside it logs the limit."""
+    former = {"time": 50.0, "event": 327, "instance": "node-6", "calls_per_second": 3}
+    limit = {"time": 99.5, "event": 327, "instance": "node-7", "calls_per_second": 8.5}
+    line = build_refused_line("backend-limited", detail="3 calls ahead")
+    _, out, _ = run("r1", write_log(tmp_path / "log", former, limit, line))
+    cause = out.splitlines()[-1]
+    assert (
+        "3 calls ahead. Stated at about that time: 8.5 a second beside node-7." in cause
+    )
+    assert "did not run" in cause
+
+
 @pytest.mark.parametrize("reason", ["zone-evacuated", "no-backend-server"])
 def test_refusal_during_an_evacuation_names_the_zone(tmp_path, reason: str):
     """The only backend servers of a service are in a zone that operators evacuated."""
--- a/tests/test_load_balancing.py
+++ b/tests/test_load_balancing.py
@@ -180,3 +180,41 @@
         for _ in range(500)
     ]
     assert sum(choice is cross_zone for choice in chosen) > 0.95 * len(chosen)
+
+
+def test_limited_backend_server_gets_calls_once_the_others_are_busier():
+    """Guards against a queue of calls at a backend server that takes few a second, and
+    against leaving it idle while calls wait elsewhere.
+    """
+    rng = random.Random(1)
+
+    def count_limited(other_in_flight: float) -> int:
+        limited = Candidate("limited", True, 1, 0.0, 20.0, 0.0, request_limit=8.0)
+        other = Candidate("other", True, SLOTS, other_in_flight, 20.0, 0.0)
+        chosen = [
+            choose([limited, other], list, 1000.0, 0.0, 0.0, rng) for _ in range(1000)
+        ]
+        return sum(candidate is limited for candidate in chosen)
+
+    assert count_limited(0.5 * SLOTS) < 30
+    assert count_limited(8.0 * SLOTS) > 950
+
+
+def test_limited_backend_server_without_calls_is_probed():
+    """Guards against a limit whose end goes unnoticed: another zone is cheaper than the
+    zone's only backend server, which limits its requests, so that all calls go there.
+    """
+    rng = random.Random(1)
+
+    def count_limited(probe_due: bool) -> int:
+        limited = Candidate(
+            "limited", True, 1, 0.0, 20.0, 0.0, request_limit=2.0, probe_due=probe_due
+        )
+        other = Candidate("other", False, SLOTS, 0.0, 20.0, 0.0)
+        chosen = [
+            choose([limited], lambda: [other], 50.0, 0.0, 0.0, rng) for _ in range(1000)
+        ]
+        return sum(candidate is limited for candidate in chosen)
+
+    assert count_limited(probe_due=False) == 0
+    assert 50 < count_limited(probe_due=True) < 200
--- a/tests/test_mesh_request_limit.py
+++ b/tests/test_mesh_request_limit.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import pytest
+
 from .mesh import (
     build_configuration,
     build_path,
@@ -69,3 +71,86 @@
         assert 0 < busiest <= MAX_REQUESTS
         # The others are refused as not run, which callers may repeat.
         assert set(statuses) == {200, 503}
+
+
+async def test_other_backend_servers_take_the_calls_beyond_a_limit():
+    """Guards against refusals while another backend server could serve the calls."""
+    mesh = build_mesh(2)
+    async with run_mesh(mesh):
+        limited, other = (instance.backend for instance in mesh.instances[2:])
+        limited.request_limit = str(LIMIT)
+        statuses = await send_calls(mesh.instances[:2], 60, 2.0)
+        assert set(statuses) == {200}
+        assert len(other.executed_at) >= 90
+
+
+async def test_limit_that_is_taken_back_ends_at_once():
+    """Guards against a backend server that stays unused after its need has passed."""
+    mesh = build_mesh(2)
+    async with run_mesh(mesh):
+        limited = mesh.instances[2]
+        for instance in mesh.instances[2:]:
+            instance.backend.processing_seconds = 0.05
+        limited.backend.request_limit = "4"
+        await send_calls(mesh.instances[:2], 60, 1.0)
+        assert limited.node.backend.request_limit.rate == 4.0
+        limited.backend.request_limit = ""
+        async with asyncio.timeout(5.0):
+            while limited.node.backend.request_limit.rate:
+                await send_calls(mesh.instances[:2], 60, 0.2)
+        before = len(limited.backend.executed_at)
+        # More than the other backend server can serve.
+        assert set(await send_calls(mesh.instances[:2], 450, 1.0)) == {200}
+        assert len(limited.backend.executed_at) - before >= 90
+
+
+async def test_only_backend_server_is_tried_again_after_its_limit_ends():
+    """Guards against a service that stays limited, as all of its calls are refused."""
+    mesh = build_mesh()
+    async with run_mesh(mesh):
+        limited = mesh.instances[2]
+        limited.backend.request_limit = "2"
+        await send_calls(mesh.instances[:2], 40, 1.0)
+        limited.backend.request_limit = ""
+        await send_calls(mesh.instances[:2], 40, 1.0)
+        assert set(await send_calls(mesh.instances[:2], 40, 0.5)) == {200}
+
+
+async def test_restart_of_the_node_does_not_lift_the_limit():
+    """Guards against a restarted node that floods a backend server in need."""
+    mesh = build_mesh()
+    async with run_mesh(mesh):
+        limited = mesh.instances[2]
+        limited.backend.request_limit = str(LIMIT)
+        limited.backend.processing_seconds = 0.3
+        started = time.monotonic()
+        calls = asyncio.create_task(send_calls(mesh.instances[:2], 60, 5.0))
+        await asyncio.sleep(1.5)
+        await limited.kill_node()
+        limited.restart_node(first_start=False)
+        await calls
+        busiest = count_busiest_window(limited.backend.executed_at, started + 0.5)
+        assert 0 < busiest <= MAX_REQUESTS
+        assert limited.node.backend.request_limit.rate == LIMIT
+
+
+@pytest.mark.parametrize("value", ["fast", "8, 8"])
+async def test_invalid_limit_is_logged_once_and_keeps_the_last_one(value):
+    """Guards against a typing error that floods the backend server, or the log."""
+    mesh = build_mesh()
+    async with run_mesh(mesh):
+        limited = mesh.instances[2]
+        errors = []
+        limited.node._journal.emit = lambda event, **fields: errors.append(fields)
+        limited.node.backend._journal = limited.node._journal
+        limited.backend.request_limit = "8"
+        await send_calls(mesh.instances[:2], 20, 0.3)
+        limited.backend.request_limit = value
+        await send_calls(mesh.instances[:2], 20, 0.5)
+        assert limited.node.backend.request_limit.rate == 8.0
+        reasons = [
+            fields["reason"] for fields in errors if "request limit" in str(fields)
+        ]
+        assert len(reasons) == 1
+        assert value in reasons[0]
+        assert "expected one decimal number" in reasons[0]
