--- a/primroseglade/stand_ins/mesh_backend.py
+++ b/primroseglade/stand_ins/mesh_backend.py
@@ -33,6 +33,7 @@
         executed_at: ``time.monotonic()`` at which each of them began.
         request_limit: Limit on requests per second that its answers state; empty for
             none.
+        leaving: How its answers state that it leaves; empty if they do not.
         health_checks: Number of health checks.
         cancelled: Number of requests that were cancelled while they ran.
         seen_headers: Headers of all requests, also of those refused as misdirected.
@@ -61,6 +62,7 @@
         self.executed_request_ids: list[str] = []
         self.executed_at: list[float] = []
         self.request_limit = ""
+        self.leaving = ""
         self.health_checks = 0
         self.cancelled = 0
         self.seen_headers: list[dict[str, str]] = []
@@ -172,6 +174,12 @@
 
     def _render_statements(self) -> bytes:
         """Return the headers that state something about the backend server."""
-        if not self.request_limit:
-            return b""
-        return f"Server-Limit: {self.request_limit}\r\n".encode()
+        statements = {
+            "Server-Limit": self.request_limit,
+            "Server-Leaving": self.leaving,
+        }
+        return b"".join(
+            f"{name}: {value}\r\n".encode()
+            for name, value in statements.items()
+            if value
+        )
