Send no calls to a backend server that states that it leaves

What callers saw: answers of a backend server that states in them that it leaves, for as long as it ran, and failures once it had gone. Cause: the same as that of the limit: statements in answers were read by nobody; a drain was known from status reports and deregistrations only. Change: the node beside the backend server takes a stated drain like a reported one, for the lifetime that answered, and has it recorded by the store and two peers. Answers between nodes carry it, so that the caller's node, which is bound by what it passed on, keeps to it by itself: the node beside the backend server may be killed before anything is recorded. States carry the backend server's start, as the next lifetime may have the same id. Statements are read in one place (platform/backend_statements.py); another value than 1 is logged once and changes nothing.

--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -189,7 +189,12 @@
     "The document trusts no backend server at this address for the service.",
 )
 BACKEND_DRAINING = _define(
-    322, "info", "backend server draining", "The server receives no new calls."
+    322,
+    "info",
+    "backend server draining",
+    "The server receives no new calls. The field `source` says where that was learned: "
+    "from its status `report`, from one of its answers (`answer`), or from the "
+    "`record` that the store or another node keeps.",
 )
 BACKEND_WITHDRAWN = _define(
     323,
--- a/primroseglade/platform/backend_statements.py
+++ b/primroseglade/platform/backend_statements.py
@@ -3,44 +3,55 @@
 import re
 from collections.abc import Sequence
 
-from ..sidecar.request_limit import StatedLimit
+from ..sidecar.http_messages import RawHeaders
+from ..sidecar.statements import NO_STATEMENTS, StatedLimit, Statements
+from .names import LEAVING, REQUEST_LIMIT
 
 # More than any single backend server can serve.
 MAX_REQUESTS_PER_SECOND = 1e6
 EXPECTED_LIMIT = (
     f"expected one decimal number above 0, at most {MAX_REQUESTS_PER_SECOND:.0f}"
 )
+LEAVES = b"1"
 # Longer values are cut off in log lines.
 MAX_LOGGED_CHARACTERS = 40
 DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
 
-def parse_request_limit(values: Sequence[bytes]) -> StatedLimit | None:
-    """Return the limit that an answer states, or None if it states none.
+def read_statements(headers: RawHeaders) -> Statements:
+    """Return what the headers of an answer state about its backend server.
 
-    Of several valid limits the lowest counts.
-
-    Args:
-        values: Values of all headers of the answer that state a limit.
-
-    >>> parse_request_limit([b"41.6"]).calls_per_second
+    >>> read_statements([(b"Server-Limit", b"41.6")]).request_limit.calls_per_second
     41.6
-    >>> parse_request_limit([b"8, 20"]).calls_per_second
-    8.0
-    >>> parse_request_limit([b"-1"]).error
-    "request limit '-1': expected one decimal number above 0, at most 1000000"
-    >>> parse_request_limit([]) is None
+    >>> read_statements([(b"Server-Leaving", b"1")]).draining
     True
+    >>> read_statements([(b"Server-Limit", b"-1")]).errors
+    ("request limit '-1': expected one decimal number above 0, at most 1000000",)
     """
-    if not values:
-        return None
-    parts = [part.strip() for value in values for part in value.split(b",")]
+    limits: list[bytes] = []
+    leavings: list[bytes] = []
+    for name, value in headers:
+        lower = name.lower()
+        if lower == REQUEST_LIMIT:
+            limits.append(value)
+        elif lower == LEAVING:
+            leavings.append(value)
+    if not limits and not leavings:
+        return NO_STATEMENTS
+    errors: list[str] = []
+    limit = _read_limit(limits, errors) if limits else None
+    draining = bool(leavings) and _read_leaving(leavings, errors)
+    return Statements(limit, draining, tuple(errors))
+
+
+def _read_limit(values: Sequence[bytes], errors: list[str]) -> StatedLimit:
+    """Return the stated limit; of several valid ones the lowest."""
+    parts = _split_values(values)
     limits = [limit for part in parts if (limit := _parse_limit(part)) is not None]
     lowest = min(limits, default=None)
-    if len(parts) == len(limits) == 1 and lowest:
-        return StatedLimit(lowest)
-    text = b", ".join(parts).decode("latin-1")[:MAX_LOGGED_CHARACTERS]
-    return StatedLimit(lowest, f"request limit {text!r}: {EXPECTED_LIMIT}")
+    if not (len(parts) == len(limits) == 1 and lowest):
+        errors.append(f"request limit {_quote(parts)}: {EXPECTED_LIMIT}")
+    return StatedLimit(lowest)
 
 
 def _parse_limit(value: bytes) -> float | None:
@@ -49,3 +60,20 @@
         return None
     limit = float(value)
     return limit if limit <= MAX_REQUESTS_PER_SECOND else None
+
+
+def _read_leaving(values: Sequence[bytes], errors: list[str]) -> bool:
+    """Return whether any value states that the backend server is about to stop."""
+    parts = _split_values(values)
+    if any(part != LEAVES for part in parts):
+        errors.append(f"statement to leave {_quote(parts)}: expected 1")
+    return LEAVES in parts
+
+
+def _split_values(values: Sequence[bytes]) -> list[bytes]:
+    """Return the values of a header that may be repeated or hold a list."""
+    return [part.strip() for value in values for part in value.split(b",")]
+
+
+def _quote(parts: list[bytes]) -> str:
+    return repr(b", ".join(parts).decode("latin-1")[:MAX_LOGGED_CHARACTERS])
--- a/primroseglade/platform/dialect.py
+++ b/primroseglade/platform/dialect.py
@@ -9,7 +9,7 @@
 from ..sidecar.http_messages import render_status_line, Reply, Request
 from ..sidecar.request_handler import CallerFields
 from ..verdicts import Reason, Refusal, Verdict
-from .backend_statements import parse_request_limit
+from .backend_statements import read_statements
 from .names import (
     AUTHORIZATION,
     CALLER_SERVICE,
@@ -24,7 +24,6 @@
     NOT_EXECUTED,
     REMAINING_MS,
     REQUEST_ID,
-    REQUEST_LIMIT,
     SIGNATURE,
     TENANT,
 )
@@ -130,7 +129,6 @@
         """Return the fields of a backend server's response, and the head to forward."""
         request_id = b""
         signed = not_executed = False
-        limits: list[bytes] = []
         dropped = DROPPED_FROM_RESPONSES
         lines = [render_status_line(answer.status)]
         for name, value in answer.headers:
@@ -141,8 +139,6 @@
                 signed = True
             elif lower == NOT_EXECUTED:
                 not_executed = True
-            elif lower == REQUEST_LIMIT:
-                limits.append(value)
             elif lower == CONNECTION:
                 dropped = dropped | _split_tokens(value)
         lines += [
@@ -155,7 +151,7 @@
             request_id,
             signed,
             not_executed,
-            parse_request_limit(limits),
+            read_statements(answer.headers),
         )
 
     def render_health_check(self, path: str, address: str) -> bytes:
--- a/primroseglade/platform/names.py
+++ b/primroseglade/platform/names.py
@@ -17,6 +17,8 @@
 # In answers of a backend server that is short of resources: the requests per second
 # that it takes from all nodes together, for as long as its answers say so.
 REQUEST_LIMIT = b"server-limit"
+# In all answers of a backend server that is about to stop, with the value 1.
+LEAVING = b"server-leaving"
 HOST = b"host"
 CONNECTION = b"connection"
 # In answers to health checks only.
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -26,7 +26,8 @@
 from .http_messages import MIN_FAILURE_STATUS
 from .load_balancing import Candidate
 from .model import BackendState, StatusReport
-from .request_limit import RequestLimit, StatedLimit
+from .request_limit import RequestLimit
+from .statements import NO_STATEMENTS, Statements
 from .warm_up import WarmUp
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -56,10 +57,10 @@
         request_id: ID of the request that the answer names; empty if none.
         signed: Whether the answer carries the backend server's signature.
         not_executed: Whether the answer states that the request was not executed.
-        request_limit: Limit on requests that the answer states; None if it states none.
+        statements: What the answer states about the backend server.
     """
 
-    __slots__ = ("head", "not_executed", "request_id", "request_limit", "signed")
+    __slots__ = ("head", "not_executed", "request_id", "signed", "statements")
 
     def __init__(
         self,
@@ -67,13 +68,13 @@
         request_id: bytes,
         signed: bool,
         not_executed: bool,
-        request_limit: StatedLimit | None = None,
+        statements: Statements = NO_STATEMENTS,
     ):
         self.head = head
         self.request_id = request_id
         self.signed = signed
         self.not_executed = not_executed
-        self.request_limit = request_limit
+        self.statements = statements
 
 
 class BackendDialect(Protocol):
@@ -92,14 +93,22 @@
 
 
 class ServedAnswer:
-    """The backend server's answer to a call: status, parsed head and body."""
+    """The backend server's answer to a call: status, parsed head and body.
+
+    Attributes:
+        start_time_ms: Unix time of the start of the backend server that answered, in
+            milliseconds.
+    """
 
-    __slots__ = ("answer", "body", "status")
+    __slots__ = ("answer", "body", "start_time_ms", "status")
 
-    def __init__(self, status: int, answer: ParsedAnswerHead, body: bytes):
+    def __init__(
+        self, status: int, answer: ParsedAnswerHead, body: bytes, start_time_ms: int
+    ):
         self.status = status
         self.answer = answer
         self.body = body
+        self.start_time_ms = start_time_ms
 
 
 class BackendRefusal(Refusal):
@@ -121,6 +130,9 @@
         request_limit: Tracks the limit on requests that the backend server states.
         journal: Logs changes of state.
         broadcast_state: Announces the state of this node to the others at once.
+        persist_drain: Records a drain that the backend server stated in an answer, so
+            that it survives a restart of this node; called with instance ID and start
+            time.
         request_health_check: Starts health checks, to learn whether the backend server
             is cold.
     """
@@ -135,6 +147,7 @@
         request_limit: RequestLimit,
         journal: Journal,
         broadcast_state: Callable[[], None],
+        persist_drain: Callable[[str, int], None],
         request_health_check: Callable[[], None],
     ):
         self._service = service
@@ -143,6 +156,7 @@
         self._call_ratios = call_ratios
         self._journal = journal
         self._broadcast_state = broadcast_state
+        self._persist_drain = persist_drain
         self._request_health_check = request_health_check
         self._report: StatusReport | None = None
         # Start time in ms of the drained incarnation, by instance ID; 0 until a drain
@@ -164,7 +178,7 @@
         self.warm_up = warm_up
         self.request_limit = request_limit
         self._logged_sent_count = 0
-        self._logged_limit_error = ""
+        self._logged_statement_errors: tuple[str, ...] = ()
         self.queue = BackendQueue(1, (warm_up, request_limit))
 
     @property
@@ -346,7 +360,7 @@
             del self._unspecified_drain_until[report.instance]
         return self._drained_start_times[report.instance] == report.start_time_ms
 
-    def drain(self, instance: str, start_time_ms: int) -> None:
+    def drain(self, instance: str, start_time_ms: int, source: str = "report") -> None:
         """Send no further calls to a backend server that is being drained.
 
         The drain applies to the whole incarnation: a report that was sent before the
@@ -355,12 +369,14 @@
         Args:
             instance: Instance ID of the backend server.
             start_time_ms: Start time of the incarnation; 0 if unknown.
+            source: Where the drain was learned of, for the log: ``report``, ``answer``
+                or ``record``, which the store or a peer keeps.
         """
         last_report = self._report
         if last_report is not None and last_report.instance == instance:
             start_time_ms = start_time_ms or last_report.start_time_ms
             if not self._draining:
-                self._journal.emit(BACKEND_DRAINING, backend=instance)
+                self._journal.emit(BACKEND_DRAINING, backend=instance, source=source)
             if start_time_ms == last_report.start_time_ms:
                 self._draining = True
             self._newest_drained_start_ms = max(
@@ -492,21 +508,42 @@
             sent=self.request_limit.sent_count - self._logged_sent_count,
         )
 
-    def _record_stated_limit(self, stated: StatedLimit | None, sent_at: float) -> None:
-        """Record the limit on requests that an answer states.
+    def _record_statements(
+        self,
+        statements: Statements,
+        instance: str,
+        start_time_ms: int,
+        sent_at: float,
+    ) -> None:
+        """Record what an answer states about the backend server.
 
         Args:
-            stated: The limit; None if the answer states none.
+            statements: What it states.
+            instance: Instance ID of the backend server that answered.
+            start_time_ms: Start time of its incarnation.
             sent_at: ``time.monotonic()`` when the answered call was sent.
         """
-        error = stated.error if stated is not None else ""
-        if error and error != self._logged_limit_error:
-            self._logged_limit_error = error
-            self._journal.emit(VALUE_IGNORED, service=self._service, reason=error)
-        if self.request_limit.record_statement(stated, sent_at):
-            self._log_request_limit()
-            self.queue.start_queued_calls()
+        if statements.errors and statements.errors != self._logged_statement_errors:
+            self._logged_statement_errors = statements.errors
+            for error in statements.errors:
+                self._journal.emit(VALUE_IGNORED, service=self._service, reason=error)
+        if statements.draining:
+            self._record_stated_drain(instance, start_time_ms)
+        elif instance == self.instance and start_time_ms == self.start_time_ms:
+            if self.request_limit.record_statement(statements.request_limit, sent_at):
+                self._log_request_limit()
+                self.queue.start_queued_calls()
+                self._broadcast_state()
+
+    def _record_stated_drain(self, instance: str, start_time_ms: int) -> None:
+        """Drain a backend server that states in an answer that it is about to stop."""
+        if self._drained_start_times.get(instance) == start_time_ms:
+            return
+        had_instance = bool(self.instance)
+        self.drain(instance, start_time_ms, "answer")
+        if had_instance and not self.instance:
             self._broadcast_state()
+        self._persist_drain(instance, start_time_ms)
 
     def _mark_unavailable(self) -> None:
         """Accept no calls for a backend server that has crashed, and announce it.
@@ -564,6 +601,7 @@
                 # One call is enough as a probe.
                 self._broadcast_state()
             sent_at = time.monotonic()
+            start_time_ms = self.start_time_ms
             answer = await connection.exchange(
                 request, is_answer_to_call, call.head.startswith(b"HEAD ")
             )
@@ -575,12 +613,14 @@
         finally:
             self.pool.release(connection)
         assert parsed is not None
-        if answer.status != MISDIRECTED_STATUS and call.instance == self.instance:
-            self._record_stated_limit(parsed.request_limit, sent_at)
-        return self._classify_answer(answer, parsed)
+        if answer.status != MISDIRECTED_STATUS:
+            self._record_statements(
+                parsed.statements, call.instance, start_time_ms, sent_at
+            )
+        return self._classify_answer(answer, parsed, start_time_ms)
 
     def _classify_answer(
-        self, answer: Response, parsed: ParsedAnswerHead
+        self, answer: Response, parsed: ParsedAnswerHead, start_time_ms: int
     ) -> ServedAnswer:
         """Return the answer of the backend server if it is valid.
 
@@ -604,7 +644,7 @@
             detail = "the answer carries no signature of the backend server"
             raise may_have_run(Reason.ANSWER_BROKEN, detail)
         self._failure_ratio.record(answer.status >= MIN_FAILURE_STATUS)
-        return ServedAnswer(answer.status, parsed, answer.body)
+        return ServedAnswer(answer.status, parsed, answer.body, start_time_ms)
 
 
 def _check_remaining_time(remaining: float) -> None:
--- a/primroseglade/sidecar/backend_registration.py
+++ b/primroseglade/sidecar/backend_registration.py
@@ -98,7 +98,7 @@
         """
         self._drains_loaded = True
         for instance, start_time_ms in drains.items():
-            self._backend.drain(instance, start_time_ms)
+            self._backend.drain(instance, start_time_ms, "record")
 
     async def handle_report(self, report: StatusReport) -> bool:
         """Apply a status report; return whether to acknowledge it."""
@@ -133,6 +133,18 @@
             instance, start_time_ms or self._backend.start_time_ms
         )
 
+    def persist_stated_drain(self, instance: str, start_time_ms: int) -> None:
+        """Persist a drain that the backend server stated in an answer.
+
+        Args:
+            instance: Id of the backend server.
+            start_time_ms: Unix time of its start, in milliseconds.
+        """
+        self._supervisor.start_once(
+            f"stated drain of {instance}",
+            lambda: self._persist_drain(instance, start_time_ms),
+        )
+
     async def _load_drains(self) -> None:
         try:
             drains = await self._store.list_drains(ACK_TIMEOUT_SECONDS)
--- a/primroseglade/sidecar/frames.py
+++ b/primroseglade/sidecar/frames.py
@@ -138,6 +138,9 @@
         body: The complete body.
         signed: Whether the answer carries the backend server's signature.
         in_flight: Calls running and queued at the backend server.
+        draining: Whether the answer states that the backend server is about to stop.
+        start_time_ms: Start time of the backend server that answered, in Unix
+            milliseconds; only if it is draining.
     """
 
     id: int
@@ -146,6 +149,8 @@
     body: bytes
     signed: bool
     in_flight: int
+    draining: bool = False
+    start_time_ms: int = 0
 
 
 class CallRefused(msgspec.Struct, array_like=True, tag=7):
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -352,6 +352,8 @@
         request_limit: Requests per second that the backend server states that it takes
             from all nodes together; 0 for no limit.
         probe_due: Whether a call is needed to show if that limit is still in force.
+        start_time_ms: Unix time of the backend server's start, in milliseconds; 0 if
+            not reported.
     """
 
     instance: str = ""
@@ -371,6 +373,7 @@
     operator_offset: int = 0
     request_limit: float = 0.0
     probe_due: bool = False
+    start_time_ms: int = 0
 
     def copy(self) -> "NodeState":
         """Return a shallow copy, to be modified independently."""
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -146,6 +146,7 @@
             RequestLimit(assume_limited=not settings.first_start),
             journal,
             self._broadcast_state,
+            self._persist_stated_drain,
             self._start_health_checks,
         )
         self._health_checker = HealthChecker(
@@ -546,6 +547,7 @@
             operator_offset=self.evacuations.offset,
             request_limit=backend.request_limit.rate,
             probe_due=backend.request_limit.is_probe_due,
+            start_time_ms=backend.start_time_ms,
         )
 
     def _estimate_cross_zone_surcharge_ms(self, name: str) -> float:
@@ -567,6 +569,9 @@
         if source == STORE_SOURCE:
             self._broadcast_state()
 
+    def _persist_stated_drain(self, instance: str, start_time_ms: int) -> None:
+        self.registration.persist_stated_drain(instance, start_time_ms)
+
     def _start_health_checks(self) -> None:
         self._supervisor.start_once("health check", self._health_checker.run)
 
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -132,6 +132,9 @@
         self._loop = asyncio.get_running_loop()
         self.in_flight = 0.0
         self._cold_until = 0.0
+        # Start times of backend servers that stated in answers to this node that they
+        # are about to stop, by instance ID.
+        self._drained_start_times: dict[str, int] = {}
         #: Fraction of failed calls: as last reported, then updated by each call sent.
         self.failure_ratio = 0.0
         self._host = host
@@ -161,7 +164,21 @@
     @property
     def usable(self) -> bool:
         """Whether calls can be sent to the peer's backend server."""
-        return bool(self.state.instance) and self.connected
+        return bool(self.state.instance) and self.connected and not self._is_drained
+
+    @property
+    def _is_drained(self) -> bool:
+        """Whether the peer's backend server stated that it is about to stop.
+
+        Its node does not know of that if it was killed just after it passed on the
+        answer.
+        """
+        if not self._drained_start_times:
+            return False
+        start_time_ms = self._drained_start_times.get(self.state.instance)
+        return start_time_ms is not None and (
+            self.state.start_time_ms in (0, start_time_ms)
+        )
 
     @property
     def start_rate(self) -> float:
@@ -255,6 +272,8 @@
         self.failure_ratio += FAILURE_SMOOTHING * (failed - self.failure_ratio)
         if isinstance(reply, CallAnswer):
             self.record_in_flight(reply.in_flight)
+            if reply.draining:
+                self._drained_start_times[call.instance] = reply.start_time_ms
             return reply
         assert isinstance(reply, CallRefused)
         self.record_in_flight(reply.in_flight)
--- a/primroseglade/sidecar/peer_server.py
+++ b/primroseglade/sidecar/peer_server.py
@@ -255,6 +255,8 @@
                 served.body,
                 served.answer.signed,
                 self._host.backend_calls_in_flight,
+                draining := served.answer.statements.draining,
+                served.start_time_ms if draining else 0,
             ),
             call.route,
         )
--- a/primroseglade/sidecar/request_limit.py
+++ b/primroseglade/sidecar/request_limit.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from ..verdicts import Reason
+from .statements import StatedLimit
 
 # Calls that may start at once after a pause, in seconds of the limit. Callers' requests
 # do not arrive evenly.
@@ -26,21 +27,6 @@
 TOKEN_TOLERANCE = 1e-6
 
 
-class StatedLimit:
-    """A limit that an answer states.
-
-    Args:
-        calls_per_second: The limit; None if the stated value is invalid.
-        error: What is wrong with the stated value; empty if it is valid.
-    """
-
-    __slots__ = ("calls_per_second", "error")
-
-    def __init__(self, calls_per_second: float | None, error: str = ""):
-        self.calls_per_second = calls_per_second
-        self.error = error
-
-
 class RequestLimit:
     """Tracks the limit that the local backend server states, and when calls may start.
 
--- a/tests/test_request_limit.py
+++ b/tests/test_request_limit.py
@@ -3,12 +3,12 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from primroseglade.platform.backend_statements import parse_request_limit
+from primroseglade.platform.backend_statements import read_statements
 from primroseglade.sidecar.request_limit import (
     RequestLimit,
-    StatedLimit,
     UNKNOWN_LIMIT_BURST,
 )
+from primroseglade.sidecar.statements import StatedLimit, Statements
 
 # The rule of the service: in any window at most the limit's requests times the factor,
 # plus the slack.
@@ -17,6 +17,11 @@
 SLACK = 5
 
 
+def read_limits(*values: bytes) -> Statements:
+    """Return what an answer with these limits states."""
+    return read_statements([(b"Server-Limit", value) for value in values])
+
+
 class Clock:
     """A clock that the test sets."""
 
@@ -33,28 +38,29 @@
 )
 def test_invalid_limit_is_reported_with_what_is_expected(value):
     """Guards against taking a typing error for a limit, or for the end of one."""
-    stated = parse_request_limit([value])
-    assert stated is not None
-    assert stated.calls_per_second is None
-    assert "expected one decimal number above 0" in stated.error
-    assert value.decode() in stated.error
+    statements = read_limits(value)
+    assert statements.request_limit is not None
+    assert statements.request_limit.calls_per_second is None
+    (error,) = statements.errors
+    assert "expected one decimal number above 0" in error
+    assert value.decode() in error
 
 
 @pytest.mark.parametrize("values", [[b"20", b"8"], [b"20, 8"], [b"8", b"fast"]])
 def test_of_several_limits_the_lowest_counts(values):
     """Guards against a proxy or a bug that states the limit twice."""
-    stated = parse_request_limit(values)
-    assert stated is not None
-    assert stated.calls_per_second == 8.0
-    assert stated.error
+    statements = read_limits(*values)
+    assert statements.request_limit is not None
+    assert statements.request_limit.calls_per_second == 8.0
+    assert statements.errors
 
 
 @given(st.lists(st.binary(max_size=30), min_size=1, max_size=3))
 def test_any_bytes_give_a_limit_in_range_or_an_error(values):
     """Guards against a value that stops all calls, or a node that fails on it."""
-    stated = parse_request_limit(values)
-    assert stated is not None
-    assert stated.error or 0 < stated.calls_per_second <= 1e6
+    statements = read_limits(*values)
+    assert statements.request_limit is not None
+    assert statements.errors or 0 < statements.request_limit.calls_per_second <= 1e6
 
 
 def test_answer_to_an_older_call_does_not_end_the_limit():
@@ -75,7 +81,7 @@
     """Guards against a flood after a typing error at a server in need."""
     limit = RequestLimit(clock=Clock().read)
     limit.record_statement(StatedLimit(8.0), 0.0)
-    assert not limit.record_statement(StatedLimit(None, "wrong"), 0.0)
+    assert not limit.record_statement(StatedLimit(None), 0.0)
     assert limit.rate == 8.0
 
 
@@ -166,11 +172,33 @@
     """Guards against a backend server that gets no calls for good, since the end of its
     limit shows in answers only.
     """
-    stated = parse_request_limit([b"0"])
-    assert stated.error
+    statements = read_limits(b"0")
+    assert statements.errors
     clock = Clock()
     limit = RequestLimit(clock=clock.read)
-    limit.record_statement(stated, clock.now)
+    limit.record_statement(statements.request_limit, clock.now)
     starts = start_calls(limit, clock, [0.5] * 60)
     assert len(starts) >= 10
     assert count_busiest_window(starts) <= SLACK
+
+
+@pytest.mark.parametrize(
+    ("values", "draining", "has_error"),
+    [
+        ([], False, False),
+        ([b"1"], True, False),
+        ([b"1", b"1"], True, False),
+        ([b"1", b"no"], True, True),
+        ([b"0"], False, True),
+        ([b"-1"], False, True),
+        ([b"999999999999"], False, True),
+        ([b""], False, True),
+    ],
+)
+def test_only_the_agreed_value_states_a_drain(values, draining, has_error):
+    """Guards against taking any value for a statement to leave, which would take
+    backend servers out of use for good.
+    """
+    statements = read_statements([(b"Server-Leaving", value) for value in values])
+    assert statements.draining == draining
+    assert bool(statements.errors) == has_error
