Emulator and soak: backend servers that state limits, or that they leave

The soak gains faults: a limit that is named, changed and taken back; a statement to leave without a report, then the end; a node that is killed three times in a row.

--- a/primroseglade/emulator/backend_server.py
+++ b/primroseglade/emulator/backend_server.py
@@ -21,6 +21,9 @@
 COLD_CRASH_SLACK = 8.0
 RESTART_SECONDS = 1.0
 
+# Headers of answers: what the backend server states about itself.
+LIMIT_HEADER = b"limit"
+LEAVING_HEADER = b"leaving"
 # Makes a call to a route within some seconds, and returns the status of the answer.
 MakeCall = Callable[[str, float], Awaitable[int]]
 
@@ -39,6 +42,10 @@
     Attributes:
         shed_ratio: Fraction of the calls that it refuses whatever its load.
         slowdown: Factor by which its runs take longer.
+        request_limit: Requests per second that its answers state that it takes; 0 if
+            they state no limit.
+        leaving: Whether its answers state that it leaves.
+        arrived_at: Times at which calls reached it.
         crash_count: Number of crashes because of too many calls while cold.
         max_cold_starts: Most calls that reached it within a second while it was cold.
     """
@@ -70,6 +77,9 @@
         self.on_start: Callable[[], None] = lambda: None
         self.shed_ratio = 0.0
         self.slowdown = 1.0
+        self.request_limit = 0.0
+        self.leaving = False
+        self.arrived_at: list[float] = []
         self.crash_count = 0
         self.max_cold_starts = 0
 
@@ -103,6 +113,7 @@
             raise ExchangeError("connection refused", sent=False, refused=True)
         if call.instance != self.instance:
             return Response(MISDIRECTED_STATUS, [])
+        self.arrived_at.append(time.monotonic())
         self._count_cold_arrival()
         if self._down:
             raise ExchangeError("connection lost", sent=True)
@@ -110,7 +121,9 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         try:
-            return await task
+            response = await task
+            response.headers.extend(self._list_statements())
+            return response
         except asyncio.CancelledError:
             if self._down or call.instance != self.instance:
                 raise ExchangeError("connection lost", sent=True) from None
@@ -133,11 +146,22 @@
     def _start(self) -> None:
         self._down = False
         self._lives += 1
+        self.request_limit = 0.0
+        self.leaving = False
         self._slots = asyncio.Semaphore(self._service.slots)
         self._running = self._queued = 0
         self.turn_cold()
         self.on_start()
 
+    def _list_statements(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that state something about the backend server."""
+        headers = []
+        if self.request_limit:
+            headers.append((LIMIT_HEADER, str(self.request_limit).encode()))
+        if self.leaving:
+            headers.append((LEAVING_HEADER, b""))
+        return headers
+
     def _count_cold_arrival(self) -> None:
         rate = self._service.cold_calls_per_second
         if not rate or not self.cold_seconds:
--- a/primroseglade/emulator/mesh.py
+++ b/primroseglade/emulator/mesh.py
@@ -43,9 +43,15 @@
 from ..sidecar.peer import Peer
 from ..sidecar.quota import TokenDecision
 from ..sidecar.request_handler import CallerFields
+from ..sidecar.statements import StatedLimit, Statements
 from ..sidecar.warm_up import WarmUpLimits
 from ..verdicts import Refusal
-from .backend_server import EmulatedBackendServer, REFUSED_STATUS
+from .backend_server import (
+    EmulatedBackendServer,
+    LEAVING_HEADER,
+    LIMIT_HEADER,
+    REFUSED_STATUS,
+)
 from .deployment import Deployment
 
 HOST = "emulated"
@@ -101,7 +107,14 @@
     def read_answer(self, answer: Response) -> ParsedAnswerHead:
         """Return the head of an answer, which is always signed."""
         head = render_status_line(answer.status)
-        return ParsedAnswerHead(head, b"", True, answer.status == REFUSED_STATUS)
+        headers = dict(answer.headers)
+        limit = headers.get(LIMIT_HEADER)
+        statements = Statements(
+            StatedLimit(float(limit)) if limit else None, LEAVING_HEADER in headers
+        )
+        return ParsedAnswerHead(
+            head, b"", True, answer.status == REFUSED_STATUS, statements
+        )
 
     def render_health_check(self, path: str, address: str) -> Any:
         """Return a health check, which is no call."""
@@ -165,6 +178,11 @@
         """Return no drains."""
         return {}
 
+    async def write_drain(
+        self, instance: str, start_time_ms: int, timeout: float
+    ) -> None:
+        """Record nothing."""
+
     async def close(self) -> None:
         """Do nothing."""
 
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -143,7 +143,7 @@
                 settings.cold_overshoot,
                 time.monotonic,
             ),
-            RequestLimit(assume_limited=not settings.first_start),
+            RequestLimit(time.monotonic, assume_limited=not settings.first_start),
             journal,
             self._broadcast_state,
             self._persist_stated_drain,
--- a/primroseglade/sidecar/request_limit.py
+++ b/primroseglade/sidecar/request_limit.py
@@ -5,7 +5,6 @@
 the only one that has to count them. This module does no network I/O.
 """
 
-import time
 from collections.abc import Callable
 
 from ..verdicts import Reason
@@ -34,9 +33,9 @@
     `StartLimit`.
 
     Args:
+        clock: Returns monotonic seconds.
         assume_limited: Whether the backend server may have stated a limit before this
             node started.
-        clock: Returns monotonic seconds.
     """
 
     __slots__ = (
@@ -51,9 +50,7 @@
         "_tokens",
     )
 
-    def __init__(
-        self, assume_limited: bool = False, clock: Callable[[], float] = time.monotonic
-    ):
+    def __init__(self, clock: Callable[[], float], assume_limited: bool = False):
         self._clock = clock
         self._rate = 0.0
         self._assumed = assume_limited
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -1,7 +1,8 @@
 """``python -m soak.backend``: a backend server process that reports what it executes.
 
 It writes one JSON line to stdout for each request that it starts to execute, so that
-the soak test knows what was executed whatever status the caller received.
+the soak test knows what was executed whatever status the caller received. It reads JSON
+lines from stdin that say what its answers are to state about it.
 """
 
 import argparse
@@ -15,6 +16,8 @@
 from primroseglade.sidecar.http_messages import Reply, Request
 from primroseglade.stand_ins.mesh_backend import MeshBackend
 
+# Names the instance in answers, for the checks.
+INSTANCE_HEADER = "X-Soak-Instance"
 PROCESSING_SECONDS_RANGE = (0.005, 0.06)
 # The backend server serves for this long after it has reported its drain.
 LINGER_SECONDS = 2.5
@@ -41,7 +44,31 @@
             )
         self.processing_seconds = random.uniform(*PROCESSING_SECONDS_RANGE)
         reply = await super()._handle(request)
-        return Reply(reply.head, f"{request_id} {'x' * 2000} end".encode())
+        head = reply.head + f"{INSTANCE_HEADER}: {self.instance}\r\n".encode()
+        return Reply(head, f"{request_id} {'x' * 2000} end".encode())
+
+    def state_limit(self, limit: float) -> None:
+        """State a limit on requests from now on; 0 for none."""
+        self.request_limit = f"{limit:g}" if limit else ""
+        write_event(instance=self.instance, limit=limit)
+
+    def state_leaving(self) -> None:
+        """State in all answers from now on that it leaves, without a report."""
+        self.leaving = "1"
+
+
+async def read_commands(backend: SoakBackend) -> None:
+    """Read from stdin what the answers are to state, until the end of the input."""
+    reader = asyncio.StreamReader()
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    while line := await reader.readline():
+        command = json.loads(line)
+        if "limit" in command:
+            backend.state_limit(command["limit"])
+        elif command.get("leaving"):
+            backend.state_leaving()
 
 
 async def serve(backend: SoakBackend) -> None:
@@ -49,6 +76,7 @@
     stop_requested = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop_requested.set)
     serving = asyncio.create_task(backend.run())
+    reading = asyncio.create_task(read_commands(backend))
     await stop_requested.wait()
     backend.state = "draining"
     acknowledged = await backend.report_status() == 200
@@ -56,6 +84,7 @@
     await asyncio.sleep(LINGER_SECONDS)
     await backend.deregister()
     serving.cancel()
+    reading.cancel()
 
 
 def main() -> None:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,5 +1,8 @@
 """Checks the guarantees against what callers and backend servers observed."""
 
+import itertools
+import math
+
 # The platform requires that a withdrawn key stops working within this time.
 MAX_REVOCATION_SECONDS = 5.0
 # Time after the acknowledgment of its drain in which a backend server may still receive
@@ -7,6 +10,17 @@
 MAX_DRAIN_SECONDS = 2.0
 # Tolerance for timestamps of different processes on a loaded machine.
 TIMESTAMP_TOLERANCE_SECONDS = 0.3
+# A caller's request may reach a backend server for this long after the caller's node
+# has passed on an answer that states that the backend server leaves.
+MAX_STATED_DRAIN_SECONDS = 2.0
+# From this long after a backend server first stated a limit, in any window of this
+# length at most the limit's requests times the factor, plus the slack, reach it.
+LIMIT_STABLE_SECONDS = 3.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+# A changed limit is known at the latest this long after it was stated.
+LIMIT_CHANGE_SECONDS = 0.5
 # A response with one of these statuses guarantees that the request was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
@@ -16,6 +30,7 @@
 
     Attributes:
         sent_at: Monotonic time in seconds.
+        machine: Number of the machine to whose node it was sent.
         status: HTTP status of the response; 0 if there was none.
         has_expected_body: False if the response lacked the complete body of this
             request.
@@ -25,16 +40,25 @@
         "has_expected_body",
         "idempotent",
         "key",
+        "machine",
         "request_id",
         "sent_at",
         "status",
     )
 
-    def __init__(self, request_id: str, key: str, idempotent: bool, sent_at: float):
+    def __init__(
+        self,
+        request_id: str,
+        key: str,
+        idempotent: bool,
+        sent_at: float,
+        machine: int = 0,
+    ):
         self.request_id = request_id
         self.key = key
         self.idempotent = idempotent
         self.sent_at = sent_at
+        self.machine = machine
         self.status = 0
         self.has_expected_body = True
 
@@ -68,6 +92,13 @@
         self.withdrawn_at: dict[str, float] = {}
         self.drain_acknowledged_at: dict[str, float] = {}
         self.tenants_by_key: dict[str, str] = {}
+        # When a machine's node first passed on an answer in which an instance states
+        # that it leaves, by machine and instance.
+        self.leaving_passed_on_at: dict[tuple[int, str], float] = {}
+        # When a machine's node was started, stopped, killed, paused or resumed.
+        self.node_disturbed_at: dict[int, list[float]] = {}
+        # Times and values of the limits that instances stated; 0 for none.
+        self.stated_limits: dict[str, list[tuple[float, float]]] = {}
 
 
 def find_violations(record: Record) -> list[str]:
@@ -84,9 +115,77 @@
         for request in record.requests.values()
         if request.status == 200 and not request.has_expected_body
     ]
+    for instance, changes in record.stated_limits.items():
+        violations += _check_limit(record, instance, changes)
     return violations
 
 
+def _check_limit(
+    record: Record, instance: str, changes: list[tuple[float, float]]
+) -> list[str]:
+    """Return a violation if a window has more requests than the stated limit allows."""
+    stable_from = changes[0][0] + LIMIT_STABLE_SECONDS
+    starts = sorted(
+        execution.started_at
+        for executions in record.executions.values()
+        for execution in executions
+        if execution.instance == instance and execution.started_at >= stable_from
+    )
+    for start in starts:
+        allowed = _count_allowed(changes, start)
+        count = sum(start <= at < start + LIMIT_WINDOW_SECONDS for at in starts)
+        if count > allowed:
+            return [
+                f"{instance} got {count} requests in {LIMIT_WINDOW_SECONDS:g} s from "
+                f"{start - changes[0][0]:.1f} s after it first stated a limit; allowed "
+                f"{allowed:.0f}"
+            ]
+    return []
+
+
+def _count_allowed(changes: list[tuple[float, float]], start: float) -> float:
+    """Return how many requests the stated limits allow in a window; may be infinite."""
+    end = start + LIMIT_WINDOW_SECONDS
+    edges = {start, end}
+    for at, _ in changes:
+        edges |= {at, at + LIMIT_CHANGE_SECONDS}
+    edges_within = sorted(edge for edge in edges if start <= edge <= end)
+    requests = sum(
+        (until - since) * _get_highest_limit(changes, since)
+        for since, until in itertools.pairwise(edges_within)
+    )
+    return LIMIT_FACTOR * requests + LIMIT_SLACK
+
+
+def _get_highest_limit(changes: list[tuple[float, float]], at: float) -> float:
+    """Return the highest limit that may be known at a time; infinite for none."""
+    known = [
+        limit
+        for (since, limit), (until, _) in zip(
+            changes, [*changes[1:], (math.inf, 0.0)], strict=True
+        )
+        if since <= at < until + LIMIT_CHANGE_SECONDS
+    ]
+    return max(limit or math.inf for limit in known)
+
+
+def _was_stated_drain_ignored(
+    record: Record, request: SentRequest, execution: Execution
+) -> bool:
+    """Return whether a node sent a request on that it should not have.
+
+    A restart or pause of the node since it passed on the statement excuses it.
+    """
+    passed_on_at = record.leaving_passed_on_at.get(
+        (request.machine, execution.instance)
+    )
+    if passed_on_at is None or any(
+        at > passed_on_at for at in record.node_disturbed_at.get(request.machine, [])
+    ):
+        return False
+    return request.sent_at > passed_on_at + MAX_STATED_DRAIN_SECONDS
+
+
 def _check_request(
     record: Record, request: SentRequest, executions: list[Execution]
 ) -> list[str]:
@@ -118,6 +217,11 @@
             violations.append(
                 f"{request.request_id} was executed for tenant {execution.tenant!r}"
             )
+        if _was_stated_drain_ignored(record, request, execution):
+            violations.append(
+                f"{request.request_id} reached {execution.instance} after machine "
+                f"{request.machine} had passed on that it leaves"
+            )
         drained_at = record.drain_acknowledged_at.get(execution.instance)
         if (
             drained_at is not None
--- a/soak/machines.py
+++ b/soak/machines.py
@@ -7,6 +7,7 @@
 import pathlib
 import signal
 import sys
+import time
 
 from primroseglade.addresses import join_address
 
@@ -55,6 +56,8 @@
         self.store_proxy: FaultProxy = build_fault_proxy(
             self.host, STORE_PROXY_PORT, store_address
         )
+        # When the node's process was started, stopped, killed, paused or resumed.
+        self.node_disturbed_at: list[float] = []
         self._backend_starts = 0
         self._is_first_start = True
         self._node: asyncio.subprocess.Process | None = None
@@ -77,6 +80,7 @@
         path = self.folder / f"{self.name}.json"
         path.write_text(json.dumps(self._build_settings()))
         self._is_first_start = False
+        self._record_disturbance()
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self._node = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -103,6 +107,7 @@
             "-m",
             "soak.backend",
             *arguments,
+            stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
         )
         self._reader_task = asyncio.create_task(self._read_events(self._backend))
@@ -110,9 +115,11 @@
     async def pause_node(self, seconds: float) -> None:
         """Suspend the node's process for some seconds (SIGSTOP)."""
         assert self._node is not None
+        self._record_disturbance()
         _send_signal(self._node, signal.SIGSTOP)
         await asyncio.sleep(seconds)
         _send_signal(self._node, signal.SIGCONT)
+        self._record_disturbance()
 
     async def kill_node(self) -> None:
         """Kill the node and restart it."""
@@ -130,6 +137,13 @@
         """Kill the backend server and start it again under a new instance id."""
         await self._restart_backend(signal.SIGKILL)
 
+    def tell_backend(self, **command: object) -> None:
+        """Tell the backend server what its answers are to state about it."""
+        backend = self._backend
+        if backend is None or backend.stdin is None or backend.returncode is not None:
+            return
+        backend.stdin.write(json.dumps(command).encode() + b"\n")
+
     async def close(self) -> None:
         """Kill both processes and wait for them to end."""
         for process in (self._node, self._backend):
@@ -140,6 +154,7 @@
     async def _restart_node(self, signal_number: signal.Signals) -> None:
         process = self._node
         assert process is not None
+        self._record_disturbance()
         _send_signal(process, signal.SIGCONT)
         _send_signal(process, signal_number)
         try:
@@ -161,6 +176,9 @@
         if process is self._backend:
             await self.start_backend()
 
+    def _record_disturbance(self) -> None:
+        self.node_disturbed_at.append(time.monotonic())
+
     async def _read_events(self, process: asyncio.subprocess.Process) -> None:
         assert process.stdout is not None
         while line := await process.stdout.readline():
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 from primroseglade.sidecar.http_client import ConnectionPool, ExchangeError
 from primroseglade.stand_ins.store import StoreStandIn
 
+from .backend import INSTANCE_HEADER
 from .checks import Execution, find_violations, Record, SentRequest
 from .machines import Machine, OUTBOUND_PORT
 from .proxy import FaultProxy, LinkFault
@@ -26,6 +27,12 @@
 RECOVERY_SECONDS = 10.0
 # Fraction of the last requests of the run that must succeed.
 MIN_RECOVERED_RATIO = 0.9
+NODE_KILLS_IN_SERIES = 3
+# Limits that backend servers state, in requests per second, below and above their load.
+STATED_LIMITS = (2.0, 5.0, 8.5, 20.0)
+# Time for which a limit, and a statement to leave, stand at least.
+STATED_LIMIT_SECONDS = 5.0
+STATED_DRAIN_SECONDS = 3.0
 TENANTS_BY_KEY = {"key-a": "north", "key-b": "north", "key-c": "south"}
 KINDS_BY_ROUTE = {"front": "safe", "deep": "safe", "once": "unsafe"}
 
@@ -87,6 +94,9 @@
             await asyncio.gather(*tasks, return_exceptions=True)
             for machine in self._machines:
                 await machine.close()
+        self.record.node_disturbed_at = {
+            machine.number: machine.node_disturbed_at for machine in self._machines
+        }
         return find_violations(self.record) + self._check_recovery()
 
     def _check_recovery(self) -> list[str]:
@@ -126,7 +136,11 @@
             key = self._random.choice(list(TENANTS_BY_KEY))
             idempotent = KINDS_BY_ROUTE[route] == "safe"
             request = SentRequest(
-                f"r{self._last_request_number}", key, idempotent, time.monotonic()
+                f"r{self._last_request_number}",
+                key,
+                idempotent,
+                time.monotonic(),
+                machine.number,
             )
             self.record.requests[request.request_id] = request
             with contextlib.suppress(ExchangeError, TimeoutError):
@@ -150,6 +164,12 @@
         finally:
             pool.release(connection)
         request.status = answer.status
+        headers = {name.lower(): value.decode() for name, value in answer.headers}
+        if headers.get(b"server-leaving") == "1":
+            instance = headers[INSTANCE_HEADER.lower().encode()]
+            self.record.leaving_passed_on_at.setdefault(
+                (request.machine, instance), time.monotonic()
+            )
         request.has_expected_body = (
             answer.body == f"{request.request_id} {'x' * 2000} end".encode()
         )
@@ -170,6 +190,10 @@
                 self.record.executions.setdefault(execution.request_id, []).append(
                     execution
                 )
+            elif "limit" in event:
+                self.record.stated_limits.setdefault(str(event["instance"]), []).append(
+                    (event_time, float(str(event["limit"])))
+                )
             elif event.get("acknowledged"):
                 self.record.drain_acknowledged_at[str(event["draining"])] = event_time
 
@@ -289,6 +313,33 @@
     await soak.get_machine(fault).kill_backend()
 
 
+@_injects("node-kill-series")
+async def _kill_node_repeatedly(soak: Soak, fault: ScheduledFault) -> None:
+    for _ in range(NODE_KILLS_IN_SERIES):
+        await soak.get_machine(fault).kill_node()
+        await asyncio.sleep(fault.duration_seconds / NODE_KILLS_IN_SERIES)
+
+
+@_injects("backend-limit")
+async def _limit_backend(soak: Soak, fault: ScheduledFault) -> None:
+    """Have a backend server state a limit, change it, and take it back."""
+    machine = soak.get_machine(fault)
+    first_limit = STATED_LIMITS[fault.variant % len(STATED_LIMITS)]
+    second_limit = STATED_LIMITS[fault.variant // 10 % len(STATED_LIMITS)]
+    for limit in (first_limit, second_limit, 0.0):
+        machine.tell_backend(limit=limit)
+        await asyncio.sleep(STATED_LIMIT_SECONDS + fault.duration_seconds)
+
+
+@_injects("backend-states-leaving")
+async def _state_leaving(soak: Soak, fault: ScheduledFault) -> None:
+    """Have a backend server state that it leaves, without a report, and end it."""
+    machine = soak.get_machine(fault)
+    machine.tell_backend(leaving=True)
+    await asyncio.sleep(STATED_DRAIN_SECONDS + fault.duration_seconds)
+    await machine.kill_backend()
+
+
 @_injects("backend-link")
 async def _fault_backend_link(soak: Soak, fault: ScheduledFault) -> None:
     await _inject_link_fault(soak.get_machine(fault).backend_proxy, fault)
--- a/tests/test_request_limit.py
+++ b/tests/test_request_limit.py
@@ -66,7 +66,7 @@
 def test_answer_to_an_older_call_does_not_end_the_limit():
     """Guards against a limit that is lost to an answer from before it was stated."""
     clock = Clock()
-    limit = RequestLimit(clock=clock.read)
+    limit = RequestLimit(clock.read)
     sent_at = clock.now
     clock.now += 0.2
     assert limit.record_statement(StatedLimit(8.0), sent_at)
@@ -79,7 +79,7 @@
 
 def test_invalid_limit_leaves_the_last_one_in_force():
     """Guards against a flood after a typing error at a server in need."""
-    limit = RequestLimit(clock=Clock().read)
+    limit = RequestLimit(Clock().read)
     limit.record_statement(StatedLimit(8.0), 0.0)
     assert not limit.record_statement(StatedLimit(None), 0.0)
     assert limit.rate == 8.0
@@ -109,7 +109,7 @@
 def test_starts_keep_to_the_limit_in_any_window(rate, gaps):
     """Guards against bursts after a pause that exceed the limit."""
     clock = Clock()
-    limit = RequestLimit(clock=clock.read)
+    limit = RequestLimit(clock.read)
     limit.record_statement(StatedLimit(rate), clock.now)
     starts = start_calls(limit, clock, gaps)
     allowed = LIMIT_FACTOR * rate * WINDOW_SECONDS + SLACK
@@ -122,11 +122,11 @@
     goes on, and gets all that is queued until it answers.
     """
     clock = Clock()
-    limit = RequestLimit(clock=clock.read)
+    limit = RequestLimit(clock.read)
     limit.record_statement(StatedLimit(rate), clock.now)
     starts = start_calls(limit, clock, gaps)
     clock.now += 1.0
-    restarted = RequestLimit(assume_limited=True, clock=clock.read)
+    restarted = RequestLimit(clock.read, assume_limited=True)
     starts += start_calls(restarted, clock, [0.0, 0.2])
     restarted.record_statement(StatedLimit(rate), clock.now)
     starts += start_calls(restarted, clock, gaps)
@@ -137,7 +137,7 @@
 def test_first_answer_without_a_limit_ends_the_assumption():
     """Guards against a restarted node that sends few calls longer than needed."""
     clock = Clock()
-    limit = RequestLimit(assume_limited=True, clock=clock.read)
+    limit = RequestLimit(clock.read, assume_limited=True)
     assert len(start_calls(limit, clock, [0.0])) == UNKNOWN_LIMIT_BURST
     limit.record_statement(None, clock.now)
     assert limit.get_start_delay(1000) == 0
@@ -147,7 +147,7 @@
 def test_delay_of_a_queued_call_is_when_it_starts(gaps, calls_ahead):
     """Guards against calls that are kept waiting past their deadline."""
     clock = Clock()
-    limit = RequestLimit(clock=clock.read)
+    limit = RequestLimit(clock.read)
     limit.record_statement(StatedLimit(6.0), clock.now)
     start_calls(limit, clock, gaps)
     clock.now += limit.get_start_delay(calls_ahead)
@@ -159,7 +159,7 @@
 def test_call_that_was_not_sent_returns_its_token():
     """Guards against a limit that shrinks with each lost connection."""
     clock = Clock()
-    limit = RequestLimit(clock=clock.read)
+    limit = RequestLimit(clock.read)
     limit.record_statement(StatedLimit(1.0), clock.now)
     clock.now += 1.0
     limit.reserve_start(1)
@@ -175,7 +175,7 @@
     statements = read_limits(b"0")
     assert statements.errors
     clock = Clock()
-    limit = RequestLimit(clock=clock.read)
+    limit = RequestLimit(clock.read)
     limit.record_statement(statements.request_limit, clock.now)
     starts = start_calls(limit, clock, [0.5] * 60)
     assert len(starts) >= 10
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -79,9 +79,26 @@
     assert find_violations(build_record()) == []
 
 
+def exceed_limit(record: Record) -> None:
+    """Execute 18 requests in 4 s, 3 s after a limit of 2 a second was stated."""
+    record.stated_limits["i-1"] = [(7.0, 2.0)]
+    for number in range(18):
+        name = f"l{number}"
+        record.requests[name] = SentRequest(name, "key-a", True, 10.0)
+        at = 10.1 + number / 5
+        record.executions[name] = [Execution(name, "i-1", "north", False, at)]
+
+
+def ignore_stated_drain(record: Record) -> None:
+    """Send a request 2 s after its node has passed on that the instance leaves."""
+    record.leaving_passed_on_at[0, "i-1"] = 7.5
+
+
 @pytest.mark.parametrize(
     "harm",
     [
+        exceed_limit,
+        ignore_stated_drain,
         execute_twice,
         answer_not_executed,
         mix_up_bodies,
@@ -97,3 +114,21 @@
     record = build_record()
     harm(record)
     assert len(find_violations(record)) == 1
+
+
+def test_limit_that_is_changed_or_taken_back_is_checked_while_it_stands():
+    """Guards against a check that counts requests from before or after a limit."""
+    record = build_record()
+    exceed_limit(record)
+    record.stated_limits["i-1"].append((12.0, 0.0))
+    assert find_violations(record) == []
+    record.stated_limits["i-1"] = [(7.0, 2.0), (9.0, 4.0)]
+    assert find_violations(record) == []
+
+
+def test_restart_excuses_the_node_from_a_stated_drain():
+    """Guards against a check that is stricter than the rule."""
+    record = build_record()
+    ignore_stated_drain(record)
+    record.node_disturbed_at[0] = [8.0]
+    assert find_violations(record) == []
