Limit calls until the first answer also after the first report

Cause: the first report after a start of the node counts as one of a new incarnation, which ended the assumption that the backend server may have stated a limit before. The calls that wait then started at once. Change: a new incarnation ends the stated limit only; the assumption ends with the first answer.

--- a/primroseglade/sidecar/request_limit.py
+++ b/primroseglade/sidecar/request_limit.py
@@ -103,9 +103,12 @@
         return f"the backend server takes {self._rate:g} requests per second"
 
     def reset(self) -> None:
-        """Forget the limit of a former incarnation of the backend server."""
+        """Forget the limit of a former incarnation of the backend server.
+
+        What is assumed after a start of this node stays: the incarnation that is
+        reported first may have stated a limit before.
+        """
         self._rate = 0.0
-        self._assumed = False
 
     def record_statement(self, stated: StatedLimit | None, sent_at: float) -> bool:
         """Record what an answer states, and return whether the limit has changed.
--- a/tests/test_mesh_request_limit.py
+++ b/tests/test_mesh_request_limit.py
@@ -117,14 +117,17 @@
 
 
 async def test_restart_of_the_node_does_not_lift_the_limit():
-    """Guards against a restarted node that floods a backend server in need."""
+    """Guards against a restarted node that floods a backend server in need: with many
+    slots, a hundred calls start before its first answer.
+    """
     mesh = build_mesh()
+    mesh.instances[2].backend.slots = 120
     async with run_mesh(mesh):
         limited = mesh.instances[2]
         limited.backend.request_limit = str(LIMIT)
         limited.backend.processing_seconds = 0.3
         started = time.monotonic()
-        calls = asyncio.create_task(send_calls(mesh.instances[:2], 60, 5.0))
+        calls = asyncio.create_task(send_calls(mesh.instances[:2], 200, 4.5))
         await asyncio.sleep(1.5)
         await limited.kill_node()
         limited.restart_node(first_start=False)
--- a/tests/test_request_limit.py
+++ b/tests/test_request_limit.py
@@ -134,6 +134,13 @@
     assert count_busiest_window(starts) <= allowed
 
 
+def test_first_report_does_not_end_the_assumption():
+    """Guards against a flood between the first report and the first answer."""
+    limit = RequestLimit(Clock().read, assume_limited=True)
+    limit.reset()
+    assert limit.get_start_delay(int(UNKNOWN_LIMIT_BURST)) > 0
+
+
 def test_first_answer_without_a_limit_ends_the_assumption():
     """Guards against a restarted node that sends few calls longer than needed."""
     clock = Clock()
