Close connections that an aborted node accepts while its listeners close

Cause: `abort`, which tests use as a kill, closed the connections first and the listeners after. A backend server that dialed in between kept its connection to the dead node, reported there and got 200, and the restarted node heard of no backend server. Real processes are not affected: their end closes everything.

--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -298,16 +298,10 @@
 
     async def abort(self) -> None:
         """Close everything without draining, as a killed process would; for tests."""
-        self._peer_server.abort()
-        servers = (
-            self._outbound_server,
-            self._readiness_server,
-            self._control_server,
-            self._metrics_server,
-        )
-        for server in servers:
-            server.abort()
+        self._abort_connections()
         await self._supervisor.close()
+        # Those that were accepted before the listeners closed.
+        self._abort_connections()
         self._deadlines.close()
         await self._store.close()
 
@@ -418,6 +412,16 @@
         self.rates.record_node_start(entry)
         self.fleet.update_node(entry)
 
+    def _abort_connections(self) -> None:
+        self._peer_server.abort()
+        for server in (
+            self._outbound_server,
+            self._readiness_server,
+            self._control_server,
+            self._metrics_server,
+        ):
+            server.abort()
+
     def _start(self) -> None:
         tasks: tuple[tuple[str, Callable[[], Awaitable[None]]], ...] = (
             ("peer server", self._peer_server.run),
