Name in a refusal as rate-unavailable what the asked nodes answered

Cause: the refusal said only that no holder can be reached, so that a holder that is silent and one that may not grant yet looked alike. Change: the detail lists each node that was asked and whether it did not answer or may not grant. No change of behaviour.

--- a/primroseglade/rates/limiter.py
+++ b/primroseglade/rates/limiter.py
@@ -33,12 +33,19 @@
 
 
 class Denial:
-    """A denied token; ``retry_after`` in seconds, negative if no holder was reached."""
+    """A denied token.
 
-    __slots__ = ("retry_after",)
+    Args:
+        retry_after: Seconds after which a token may be available; negative if no holder
+            was reached.
+        detail: What the nodes answered that may hold the rate; empty if one holds it.
+    """
 
-    def __init__(self, retry_after: float):
+    __slots__ = ("detail", "retry_after")
+
+    def __init__(self, retry_after: float, detail: str = ""):
         self.retry_after = retry_after
+        self.detail = detail
 
 
 class WorkspaceState:
@@ -164,6 +171,8 @@
         self._metrics.tokens.labels("denied").inc()
         if denial.retry_after < 0:
             detail = "no node that holds the workspace's rate can be reached"
+            if denial.detail:
+                detail += f": {denial.detail}"
             raise not_run(
                 Reason.RATE_UNAVAILABLE, detail, NO_HOLDER_RETRY_AFTER_SECONDS
             )
@@ -189,14 +198,17 @@
         wanted = max(
             1.0, state.waiting_calls, state.demand.estimate() * PREFETCH_SECONDS
         )
-        is_holder_reached = False
+        answers = []
         for address, instance in self._list_holders(workspace):
             reply, sent_at = await self._request_grant(
                 workspace, state, wanted, address, instance
             )
-            if reply is None or not reply.holder:
+            if reply is None:
+                answers.append(f"{instance} did not answer")
+                continue
+            if not reply.holder:
+                answers.append(f"{instance} may not grant")
                 continue
-            is_holder_reached = True
             if reply.tokens > 0:
                 expires_at = sent_at + reply.life_ms / 1000
                 batch = TokenBatch(reply.grant, reply.tokens, expires_at, address)
@@ -206,8 +218,7 @@
             state.denial = Denial(reply.retry_after_ms / 1000)
             state.denied_until = read_clock() + DENIAL_CACHE_SECONDS
             return
-        if not is_holder_reached:
-            state.denial = Denial(-1.0)
+        state.denial = Denial(-1.0, ", ".join(answers))
 
     async def _request_grant(
         self,
