Leave out pauses of the own process from the wait for a token holder

What callers saw: refusals as rate-unavailable, "no node that holds the workspace's rate can be reached", of a workspace that was simply over its rate, from a fleet without faults. Cause: a call waits up to 1 s for a new holder of its workspace's tokens, by the clock. When the whole process stands still, the lease (0.3 s in the test) lapses and the second passes at once: the first answer after the pause, "may not grant" by a holder that is just being elected again, ended the wait. The class: the time in which this node did not run counts as silence of others. Evidence: events 402 and 401 within 0.02 s after the pause, the refusals at the same moment, the holder unblocked 0.2 s later. Change: the wait is measured on a clock that stands still while the process does not run. Why it works: leases and votes are renewed as soon as the process runs again, so that a holder grants 0.2 to 0.3 s later, within the second that is left.

--- a/primroseglade/rates/coordinator.py
+++ b/primroseglade/rates/coordinator.py
@@ -12,6 +12,7 @@
 from .lease import Candidate, Elector, get_partition, Partitions
 from .limiter import RateLimiter
 from .quota import Entitlement
+from .running_clock import RunningClock
 from .shares import ZoneShare
 
 
@@ -65,6 +66,7 @@
             self._get_entitlement,
             settings.fleet.grant,
         )
+        self._running_clock = RunningClock()
         self._limiter = RateLimiter(
             members,
             partitions,
@@ -72,6 +74,7 @@
             client,
             lambda workspace: configuration.document.rates.get(workspace),
             metrics,
+            self._running_clock,
         )
 
     @property
@@ -93,6 +96,7 @@
         """Start with the current configuration and members."""
         self._zone_share.activate(self._get_reported_shares())
         supervisor.start("leases", self._candidate.run)
+        supervisor.start("running clock", self._running_clock.run)
         supervisor.start("shares", self._zone_share.run)
 
     def apply_document(self) -> None:
--- a/primroseglade/rates/limiter.py
+++ b/primroseglade/rates/limiter.py
@@ -15,6 +15,7 @@
 from .holder import Holder, OVER_RATE_FACTOR
 from .lease import get_partition, Partitions
 from .quota import DemandEstimator
+from .running_clock import RunningClock
 from .token_reserve import TokenBatch, TokenReserve
 
 GRANT_TIMEOUT_SECONDS = 0.6
@@ -25,7 +26,8 @@
 MAX_SAME_ZONE_HOLDERS = 2
 NO_HOLDER_RETRY_AFTER_SECONDS = 1.0
 # While no holder can be reached, calls wait at most this long before they are refused:
-# part of the lease duration, within which a lost holder is replaced.
+# part of the lease duration, within which a lost holder is replaced. Pauses of this
+# process do not count: leases may lapse in them, and are acquired again after them.
 MAX_HANDOVER_WAIT_SECONDS = 1.0
 HOLDER_RETRY_SECONDS = 0.1
 # Time for which a holder's denial also applies to the node's other calls.
@@ -79,6 +81,7 @@
         client: Sends requests to other holders.
         get_rate: Returns a workspace's rate, None if it is not limited.
         metrics: Counts tokens.
+        running_clock: Leaves out the time in which this process does not run.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         client: ControlClient,
         get_rate: Callable[[str], Rate | None],
         metrics: Metrics,
+        running_clock: RunningClock,
     ):
         self._members = members
         self._partitions = partitions
@@ -96,6 +100,7 @@
         self._client = client
         self._get_rate = get_rate
         self._metrics = metrics
+        self._running_clock = running_clock
         self._states: dict[str, WorkspaceState] = {}
 
     async def charge(self, workspace: str, max_wait: float) -> None:
@@ -132,7 +137,7 @@
         self, workspace: str, state: WorkspaceState, max_wait: float
     ) -> None:
         state.waiting_calls += 1
-        handover_deadline = read_clock() + MAX_HANDOVER_WAIT_SECONDS
+        handover_deadline = self._running_clock.read() + MAX_HANDOVER_WAIT_SECONDS
         try:
             async with asyncio.timeout(max_wait):
                 while not state.reserve.spend(1.0, read_clock()):
@@ -144,7 +149,7 @@
                         return
                     if (
                         self._is_holder_unreachable(state)
-                        and read_clock() < handover_deadline
+                        and self._running_clock.read() < handover_deadline
                     ):
                         await asyncio.sleep(HOLDER_RETRY_SECONDS)
                         continue
--- a/tests/test_rate_limiter.py
+++ b/tests/test_rate_limiter.py
@@ -6,6 +6,7 @@
 import pytest
 
 from primroseglade.rates.limiter import DENIAL_CACHE_SECONDS, RateLimiter
+from primroseglade.rates.running_clock import RunningClock
 from primroseglade.stand_ins.fleet import EmbeddedFleet
 from primroseglade.verdicts import Reason, Refusal
 
@@ -52,3 +53,17 @@
 
         monkeypatch.setattr(limiter._client, "call", call_after_pause)
         assert Reason.RATE_UNAVAILABLE not in await charge_at_once(limiter, 10)
+
+
+async def test_running_clock_stands_still_during_a_pause():
+    """Guards against waits for others that end because this process stood still."""
+    clock = RunningClock()
+    running = asyncio.create_task(clock.run())
+    await asyncio.sleep(0.02)
+    before = clock.read()
+    pause_process()
+    # Read before the clock's own task has run again.
+    assert clock.read() - before < 0.2
+    await asyncio.sleep(0.3)
+    assert 0.2 < clock.read() - before < 0.6
+    running.cancel()
