--- a/tests/test_rate_limiter.py
+++ b/tests/test_rate_limiter.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from primroseglade.proto import control_pb2 as pb
 from primroseglade.rates.limiter import DENIAL_CACHE_SECONDS, RateLimiter
 from primroseglade.rates.running_clock import RunningClock
 from primroseglade.stand_ins.fleet import EmbeddedFleet
@@ -67,3 +68,27 @@
     await asyncio.sleep(0.3)
     assert 0.2 < clock.read() - before < 0.6
     running.cancel()
+
+
+async def test_denial_that_is_reused_keeps_its_reason(monkeypatch: pytest.MonkeyPatch):
+    """Guards against refusals as rate-unavailable of calls that reuse a denial: another
+    refill finds no holder meanwhile, as while one is replaced.
+    """
+    async with EmbeddedFleet(FAST_SETTINGS) as fleet:
+        await fleet.publish(**build_document(("a",), per_second=2.0, burst=2.0))
+        await fleet.add("a", "archive")
+        await fleet.wait_ready()
+        node = fleet.nodes[0]
+        limiter = node.rates.limiter
+        assert Reason.RATE_EXCEEDED in await charge_at_once(limiter, 10)
+        await asyncio.sleep(2 * DENIAL_CACHE_SECONDS)
+        assert set(await charge_at_once(limiter, 10)) == {Reason.RATE_EXCEEDED}
+
+        async def find_no_holder(request):
+            return pb.GrantReply(holder=False)
+
+        monkeypatch.setattr(node.rates.holder, "grant", find_no_holder)
+        # The refill of a call that was waiting before the denial.
+        await limiter._refill("north", limiter._states["north"])
+        monkeypatch.undo()
+        assert Reason.RATE_UNAVAILABLE not in await charge_at_once(limiter, 10)
