Keep the reason of a denial that other calls reuse

What callers saw: rate-unavailable at once, without any wait, although a holder had just said that the workspace is over its rate. Cause: a denial and the time until which calls reuse it were kept apart. Change: a denial carries the time itself; that no holder was found is reused by nobody.

--- a/primroseglade/rates/limiter.py
+++ b/primroseglade/rates/limiter.py
@@ -41,13 +41,20 @@
         retry_after: Seconds after which a token may be available; negative if no holder
             was reached.
         detail: What the nodes answered that may hold the rate; empty if one holds it.
+        reusable_until: Time until which it also applies to the node's other calls.
     """
 
-    __slots__ = ("detail", "retry_after")
+    __slots__ = ("detail", "retry_after", "reusable_until")
 
-    def __init__(self, retry_after: float, detail: str = ""):
+    def __init__(
+        self,
+        retry_after: float,
+        detail: str = "",
+        reusable_until: float = -math.inf,
+    ):
         self.retry_after = retry_after
         self.detail = detail
+        self.reusable_until = reusable_until
 
 
 class WorkspaceState:
@@ -56,7 +63,6 @@
     __slots__ = (
         "demand",
         "denial",
-        "denied_until",
         "refill_task",
         "reserve",
         "waiting_calls",
@@ -67,7 +73,6 @@
         self.demand = DemandEstimator(DEMAND_SMOOTHING_SECONDS)
         self.waiting_calls = 0
         self.denial: Denial | None = None
-        self.denied_until = -math.inf
         self.refill_task: asyncio.Task[None] | None = None
 
 
@@ -126,7 +131,8 @@
             self._prefetch(workspace, state)
             return
         is_over_rate = state.demand.estimate() > OVER_RATE_FACTOR * rate.per_second
-        if is_over_rate and state.denial and read_clock() < state.denied_until:
+        denial = state.denial
+        if is_over_rate and denial and read_clock() < denial.reusable_until:
             # Reuses a recent denial: a workspace far over its rate must not cause a
             # message per call.
             self._raise_denial(state)
@@ -220,8 +226,10 @@
                 state.reserve.add(batch)
                 self._metrics.tokens.labels("granted").inc(reply.tokens)
                 return
-            state.denial = Denial(reply.retry_after_ms / 1000)
-            state.denied_until = read_clock() + DENIAL_CACHE_SECONDS
+            state.denial = Denial(
+                reply.retry_after_ms / 1000,
+                reusable_until=read_clock() + DENIAL_CACHE_SECONDS,
+            )
             return
         state.denial = Denial(-1.0, ", ".join(answers))
 
