--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -205,12 +205,14 @@
         """Slots to announce to other nodes: the queue's concurrency limit.
 
         The limit is a fraction of the backend server's own slots. Only a part of it is
-        announced while the backend server is cold, unless starts are limited then; and
-        what the calls occupy that it takes if it states a limit on them.
+        announced while the backend server is cold, unless starts are limited then. If
+        it states a limit on requests, only the slots that these occupy are announced.
         """
         if self.request_limit.rate:
-            occupied = math.ceil(self.request_limit.rate * self.queue.slot_seconds)
-            return min(self.queue.concurrency_limit, max(1, occupied))
+            occupied_slots = math.ceil(
+                self.request_limit.rate * self.queue.slot_seconds
+            )
+            return min(self.queue.concurrency_limit, max(1, occupied_slots))
         if self.warm_up.remaining_seconds > 0 and not self.warm_up.start_rate:
             return max(1, int(self.queue.concurrency_limit * COLD_CAPACITY_RATIO))
         return self.queue.concurrency_limit
@@ -494,7 +496,7 @@
         )
 
     def log_request_limit(self) -> None:
-        """Log the limit that the backend server states, and the requests sent to it."""
+        """Log the stated limit if there is one; to be called once per second."""
         sent_count = self.request_limit.sent_count
         if self.request_limit.rate:
             self._log_request_limit()
@@ -598,7 +600,7 @@
             was_probe_due = self.request_limit.is_probe_due
             self.queue.record_start(slot)
             if was_probe_due:
-                # One call is enough as a probe.
+                # Other nodes need not send a probe any more.
                 self._broadcast_state()
             sent_at = time.monotonic()
             start_time_ms = self.start_time_ms
--- a/primroseglade/sidecar/load_balancing.py
+++ b/primroseglade/sidecar/load_balancing.py
@@ -148,7 +148,7 @@
 
 
 def _estimate_limited_ms(candidate: Candidate) -> float:
-    """Return the milliseconds until a stated limit lets a call start; 0 without one."""
+    """Return the milliseconds until a call may start; 0 without a stated limit."""
     if not candidate.request_limit:
         return 0.0
     return (candidate.in_flight + 1) / candidate.request_limit * 1000
--- a/primroseglade/sidecar/request_limit.py
+++ b/primroseglade/sidecar/request_limit.py
@@ -42,11 +42,11 @@
         "_assumed",
         "_clock",
         "_filled_at",
-        "_named_at",
         "_rate",
         "_reserved",
         "_sent_at",
         "_sent_count",
+        "_stated_at",
         "_tokens",
     )
 
@@ -57,7 +57,7 @@
         self._tokens = UNKNOWN_LIMIT_BURST
         self._filled_at = clock()
         # When the last answer that stated a limit arrived.
-        self._named_at = 0.0
+        self._stated_at = 0.0
         # Slots of calls that spent a token and have not been sent yet.
         self._reserved: set[int] = set()
         self._sent_at = 0.0
@@ -125,10 +125,10 @@
         previous_rate = self._fill_rate
         self._assumed = False
         if stated is None:
-            if sent_at > self._named_at:
+            if sent_at > self._stated_at:
                 self._rate = 0.0
         else:
-            self._named_at = now
+            self._stated_at = now
             if stated.calls_per_second is not None:
                 self._rate = max(MIN_CALLS_PER_SECOND, stated.calls_per_second)
         if not previous_rate:
