Refuse a call with the limit that its delay was computed from

What callers would see: 502 ("internal error in the node", may have run) instead of a refusal as not run. Cause: the queue computed the delay of a start, and again which limit causes it for the reason of the refusal. If the process stands still in between, the second delay may have passed. Change: the limit is looked up first, and its delay taken once. Result: test_limit_that_ends_during_a_refusal_does_not_fail_the_call failed before (AssertionError) and passes.

--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -180,13 +180,15 @@
                 MAX_NESTED_RESPONSE_SERVICE_TIMES * self._service_seconds,
             )
             max_response_seconds = min(remaining, max_nested_seconds)
-        start_delay = self._get_start_delay(calls_ahead)
+        strictest_limit = self._find_strictest_limit(calls_ahead)
+        start_delay = (
+            strictest_limit.get_start_delay(calls_ahead) if strictest_limit else 0.0
+        )
         if (
-            start_delay > expected_wait
+            strictest_limit is not None
+            and start_delay > expected_wait
             and start_delay + self._service_seconds > max_response_seconds
         ):
-            strictest_limit = self._find_strictest_limit(calls_ahead)
-            assert strictest_limit is not None
             raise not_run(
                 strictest_limit.reason,
                 f"{strictest_limit.describe()}: {calls_ahead} calls ahead, "
@@ -283,13 +285,12 @@
 
     def _find_strictest_limit(self, calls_ahead: int) -> StartLimit | None:
         """Return the limit that delays a call most, or None if none delays it."""
-        strictest = max(
-            self._start_limits,
-            key=lambda limit: limit.get_start_delay(calls_ahead),
-            default=None,
-        )
-        if strictest is None or not strictest.get_start_delay(calls_ahead):
-            return None
+        strictest: StartLimit | None = None
+        longest_delay = 0.0
+        for limit in self._start_limits:
+            delay = limit.get_start_delay(calls_ahead)
+            if delay > longest_delay:
+                strictest, longest_delay = limit, delay
         return strictest
 
     def _schedule_start(self) -> None:
--- a/tests/test_backend_queue.py
+++ b/tests/test_backend_queue.py
@@ -6,7 +6,7 @@
 
 from primroseglade.emulator.virtual_time import run_in_virtual_time
 from primroseglade.sidecar.backend_queue import BackendQueue
-from primroseglade.verdicts import Refusal, Verdict
+from primroseglade.verdicts import Reason, Refusal, Verdict
 
 
 async def take_all_slots(queue: BackendQueue) -> list[int]:
@@ -160,3 +160,30 @@
     for call in calls:
         call.cancel()
     await asyncio.gather(*calls, return_exceptions=True)
+
+
+class EndingLimit:
+    """A limit on starts that ends while a call is being refused because of it."""
+
+    reason = Reason.BACKEND_LIMITED
+
+    def __init__(self) -> None:
+        self._delays = [5.0, 5.0, 5.0]
+
+    def describe(self) -> str:
+        """Return why starts are limited."""
+        return "limited"
+
+    def get_start_delay(self, calls_ahead: int = 0) -> float:
+        """Return a delay three times, and none from then on."""
+        return self._delays.pop() if self._delays else 0.0
+
+
+async def test_limit_that_ends_during_a_refusal_does_not_fail_the_call():
+    """Guards against an error instead of a refusal: the delay is computed again for the
+    reason, and has passed on a machine short of processor time.
+    """
+    queue = BackendQueue(4, (EndingLimit(),))
+    with pytest.raises(Refusal) as refused:
+        await queue.acquire(0.1, 1.0, nested=False)
+    assert refused.value.verdict is Verdict.NOT_RUN
