Answer requests that arrive while a node closes its last connections

Cause: once no request was in flight, the node closed idle connections, waited 0.05 s and closed its streams, while it went on accepting connections: what arrived in that time was passed on and cut. Change: it stops accepting first, and waits for what is still in flight, up to the end of grace. Why it works: a caller whose connection is refused or closed unread sends its request elsewhere, and nothing new can begin once the last request is answered.

--- a/primroseglade/sidecar/http_server.py
+++ b/primroseglade/sidecar/http_server.py
@@ -91,6 +91,11 @@
         """Close connections after the requests in flight, for graceful shutdown."""
         self._stopping = True
 
+    def stop_accepting(self) -> None:
+        """Refuse new connections; open ones stay open."""
+        if self._server is not None:
+            self._server.close()
+
     def close_idle(self) -> None:
         """Close the connections on which no request is being read or answered."""
         for connection in list(self._connections):
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -489,8 +489,12 @@
             ):
                 break
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        self._outbound_server.stop_accepting()
         self._outbound_server.close_idle()
         await asyncio.sleep(DRAIN_POLL_SECONDS)
+        # Requests may have arrived just before.
+        while time.monotonic() < stop_deadline and self.count_requests_in_flight():
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
         self._peer_server.finish()
         self._journal.emit(
             NODE_STOPPED,
