Keep the time of the queue's next start beside its timer

What callers saw: 502 ("node failed", may have run) for calls at a backend server whose starts are limited; the node's periodic task failed as well and was started again (event 110). Cause: since 2 limits share the queue, a pending timer is compared with an earlier start by its handle's time. uvloop returns a handle without one for delays that round down to no millisecond. Change: the queue keeps the time itself.

--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -59,7 +59,10 @@
 
     def __init__(self, slots: int, start_limits: Sequence[StartLimit] = ()):
         self._start_limits = start_limits
-        self._start_timer: asyncio.TimerHandle | None = None
+        # uvloop returns no timer for a delay of less than a millisecond, so that the
+        # time is kept here.
+        self._start_timer: asyncio.Handle | None = None
+        self._start_timer_at = 0.0
         self._concurrency_limit = 1
         self._running = 0
         # Heap of queued calls: sort time, entry ID, deadline, and the future that
@@ -301,13 +304,15 @@
         delay = self._get_start_delay()
         if not delay:
             return
-        loop = asyncio.get_running_loop()
+        start_at = time.monotonic() + delay
         if self._start_timer is not None:
-            if self._start_timer.when() <= loop.time() + delay:
+            if self._start_timer_at <= start_at:
                 return
             # A limit has been raised.
             self._start_timer.cancel()
+        loop = asyncio.get_running_loop()
         self._start_timer = loop.call_later(delay, self._start_after_delay)
+        self._start_timer_at = start_at
 
     def _start_after_delay(self) -> None:
         self._start_timer = None
--- a/tests/test_backend_queue.py
+++ b/tests/test_backend_queue.py
@@ -6,6 +6,7 @@
 
 from primroseglade.emulator.virtual_time import run_in_virtual_time
 from primroseglade.sidecar.backend_queue import BackendQueue
+from primroseglade.sidecar.loop import build_loop
 from primroseglade.verdicts import Reason, Refusal, Verdict
 
 
@@ -187,3 +188,31 @@
     with pytest.raises(Refusal) as refused:
         await queue.acquire(0.1, 1.0, nested=False)
     assert refused.value.verdict is Verdict.NOT_RUN
+
+
+class TinyDelayLimit(EndingLimit):
+    """A limit that lets the next call start in less than a millisecond."""
+
+    def get_start_delay(self, calls_ahead: int = 0) -> float:
+        """Return a delay that a timer rounds down to nothing."""
+        return 0.0001
+
+
+def test_tiny_delay_of_a_start_does_not_fail_calls():
+    """Guards against an error instead of a wait: uvloop returns no timer for a delay of
+    less than a millisecond, so that its handle has no time.
+    """
+
+    async def run() -> None:
+        queue = BackendQueue(4, (TinyDelayLimit(),))
+        waiting = [
+            asyncio.create_task(queue.acquire(0.1, 1.0, nested=False)) for _ in range(2)
+        ]
+        await asyncio.sleep(0)
+        assert not any(task.done() for task in waiting)
+        for task in waiting:
+            task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+
+    with asyncio.Runner(loop_factory=build_loop) as runner:
+        runner.run(run())
