--- a/tests/test_mesh_shutdown.py
+++ b/tests/test_mesh_shutdown.py
@@ -7,7 +7,14 @@
 from primroseglade.sidecar import node as node_module
 from primroseglade.sidecar.http_client import ExchangeError
 
-from .mesh import Mesh, MeshInstance, send_request
+from .mesh import (
+    build_configuration,
+    Mesh,
+    MeshInstance,
+    PATHS,
+    run_mesh,
+    send_request,
+)
 
 
 async def send_until_stopped(instance: MeshInstance, prefix: str) -> set[str]:
@@ -30,29 +37,25 @@
 
 
 async def test_requests_at_the_end_of_a_shutdown_are_answered(
-    mesh: Mesh, monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ):
     """Guards against cutting off a request that arrives while the last connections are
     being closed: it has been passed on, and its caller gets 502.
     """
     monkeypatch.setattr(node_module, "MIN_LAME_DUCK_SECONDS", 0.2)
-    stopping, *others = mesh.instances
-    for instance in others:
-        instance.backend.processing_seconds = 0.01
     answered: set[str] = set()
+    executed: set[str] = set()
     for run in range(5):
-        stopping.settings.grace = 6.0
-        stopping.stopping.set()
-        answered |= await send_until_stopped(stopping, f"s{run}")
-        await stopping.task
-        # The end of the process closes what is left.
-        await stopping.node.abort()
-        stopping.restart_node(first_start=False)
-        await mesh.wait_until_connected()
-    executed = {
-        request_id
-        for instance in mesh.instances
-        for request_id in instance.backend.executed_request_ids
-    }
+        mesh = Mesh()
+        mesh.add("front", grace=6.0)
+        for _ in range(2):
+            mesh.add("deep").backend.processing_seconds = 0.01
+        mesh.store.publish(build_configuration(1, *PATHS))
+        async with run_mesh(mesh):
+            stopping = mesh.instances[0]
+            stopping.stopping.set()
+            answered |= await send_until_stopped(stopping, f"s{run}")
+        for instance in mesh.instances:
+            executed.update(instance.backend.executed_request_ids)
     assert executed
     assert executed <= answered
