Move the introduction of a node and the peers' host protocol into modules

Change: how a node registers and finds the others is `introduction.py`; what a peer needs of its node is `peer_host.py`. No behaviour changes.

--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -9,7 +9,8 @@
 from .fleet_index import FleetIndex, ServicePeers
 from .load_balancing import Candidate, choose, estimate_penalty_ms
 from .model import NodeEntry
-from .peer import Peer, PeerHost
+from .peer import Peer
+from .peer_host import PeerHost
 from .zone_costs import ZoneCostsMs
 
 # Number of nodes compared for each call, in this node's zone and in other zones. The
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -11,7 +11,6 @@
     NODE_STARTED,
     NODE_STOPPED,
     NODE_STOPPING,
-    STORE_WRITE_FAILED,
 )
 from ..supervisor import Supervisor
 from .admission import Admission
@@ -32,6 +31,7 @@
 from .frames import PolicyAnswer, TokenGrant, TokenRequest
 from .health_check import HealthChecker, HealthDialect
 from .http_server import build_local_server, HttpServer
+from .introduction import Introduction
 from .load_balancing import compute_cross_zone_surcharge_ms
 from .load_monitor import LoadMonitor
 from .model import (
@@ -46,7 +46,7 @@
 from .peer_monitor import PeerMonitor, READER_POLL_SECONDS
 from .peer_server import PeerServer
 from .periodic_scheduler import PeriodicScheduler
-from .policy_tracker import PolicyTracker, STORE_SOURCE, StoreError
+from .policy_tracker import PolicyTracker, STORE_SOURCE
 from .rate_control import RateControl
 from .rate_monitor import RATE_LOG_INTERVAL_SECONDS
 from .rate_tolerance import RateTolerance
@@ -59,8 +59,6 @@
 from .zone_costs import ZoneCosts
 from .zone_rules import ZoneRules
 
-STORE_RETRY_SECONDS = 0.5
-STORE_TIMEOUT_SECONDS = 1.5
 # Minimum time for which a node serves requests after it is told to stop. Callers stop
 # sending after two failed readiness checks, one second apart; a few more requests
 # arrive on connections that were being opened meanwhile.
@@ -110,7 +108,6 @@
         self._journal = journal
         self._rng = random.Random()
         self._stopping = False
-        self._nodes_listed = False
         self._entry = NodeEntry(
             settings.name,
             settings.peers,
@@ -159,6 +156,15 @@
             self.backend.record_health,
         )
         self.fleet = Fleet(self, self._supervisor, journal, self._rng)
+        self._introduction = Introduction(
+            self._entry,
+            store,
+            self.fleet,
+            settings.first_start,
+            journal,
+            self._rng,
+            self._handle_nodes_listed,
+        )
         self.registration = BackendRegistration(
             self.backend,
             self.fleet,
@@ -431,7 +437,7 @@
             ("metrics", self._metrics_server.run),
             ("policy", self.policies.run_long_polls),
             ("policy age", self.policies.run_periodic_reads),
-            ("introduction", self._register_and_discover),
+            ("introduction", self._introduction.run),
             ("ticker", self._scheduler.run),
             ("silence", self._peer_monitor.run_liveness_checks),
         )
@@ -505,38 +511,9 @@
         self._deadlines.close()
         await self._store.close()
 
-    async def _register_and_discover(self) -> None:
-        """Register this node in the store, then connect to the nodes listed there.
-
-        The order ensures that of two nodes starting at once at least one finds the
-        other and opens a stream to it. A restarted node is registered already; the
-        Hello on its new streams shows the other nodes that its process is a new one.
-        """
-        registered = False
-        while True:
-            try:
-                if self._settings.first_start and not registered:
-                    await self._store.write_node(self._entry, STORE_TIMEOUT_SECONDS)
-                    registered = True
-                entries = await self._store.list_nodes(STORE_TIMEOUT_SECONDS)
-                if not registered and not any(
-                    map(self._entry.equals_except_start_time, entries)
-                ):
-                    await self._store.write_node(self._entry, STORE_TIMEOUT_SECONDS)
-                    registered = True
-                    continue
-                for entry in entries:
-                    self.fleet.update_node(entry)
-                self._nodes_listed = True
-                self.rates.renew_lease(time.monotonic())
-                return
-            except StoreError as error:
-                self._journal.emit(STORE_WRITE_FAILED, what="node", error=str(error))
-            await asyncio.sleep(self._rng.uniform(0.5, 1.0) * STORE_RETRY_SECONDS)
-
     def _count_nodes(self) -> int:
         """Return the number of known nodes; 0 until the store's nodes were listed."""
-        return len(self.fleet) if self._nodes_listed else 0
+        return len(self.fleet) if self._introduction.nodes_listed else 0
 
     def _build_load_state(self) -> NodeState:
         backend = self.backend
@@ -568,6 +545,9 @@
     def _report_stall(self, recently_stalled: bool) -> None:
         self._outbound_server.recently_stalled = recently_stalled
 
+    def _handle_nodes_listed(self) -> None:
+        self.rates.renew_lease(time.monotonic())
+
     def _handle_policy(self, policy: Policy) -> None:
         self._zone_rules.apply_policy(policy)
         self.backend.enable()
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -3,15 +3,12 @@
 import asyncio
 import random
 import time
-from collections.abc import Collection
-from typing import Protocol
 
 from ..addresses import parse_address
 from ..observe.events import Journal, PEER_CONNECTED, PEER_LOST, PEER_UNREACHABLE
 from ..verdicts import may_have_run, not_run, Reason, Refusal
 from .backend import BackendRefusal
 from .clock import read_age_clock
-from .cross_zone_bytes import CrossZoneBytes
 from .frames import (
     Call,
     CallAnswer,
@@ -32,6 +29,7 @@
 )
 from .http_messages import MIN_FAILURE_STATUS
 from .model import NodeEntry, NodeState
+from .peer_host import PeerHost
 from .share_leases import RemoteClock
 from .streams import FrameStream
 from .token_broker import GrantHandler
@@ -57,66 +55,6 @@
 PEER_EXPIRY_SECONDS = 120.0
 
 
-class PeerHost(Protocol):
-    """What a ``Peer`` needs of the local node."""
-
-    @property
-    def entry(self) -> NodeEntry:
-        """Name, address and location of this node."""
-
-    @property
-    def cross_zone_bytes(self) -> CrossZoneBytes:
-        """Counter of the bytes sent to other availability zones."""
-
-    def apply_drains(self, drains: dict[str, int]) -> None:
-        """Drain the local backend server if a peer has recorded it as draining.
-
-        The other recorded drains are remembered, in case one of those backend servers
-        reports to this node later.
-
-        Args:
-            drains: Start times in Unix milliseconds, by instance id. A backend server
-                that was started later under the same id is not drained.
-        """
-
-    def handle_state(self, peer: "Peer") -> None:
-        """Handle a new state of a peer."""
-
-    def relay_state(self, peer: "Peer") -> None:
-        """Relay a peer's state to the nodes of this zone."""
-
-    def apply_relayed_state(self, name: str, state: NodeState) -> None:
-        """Apply a peer's state that another node relayed."""
-
-    def record_policy_age(
-        self, version: int, age_seconds: float, asked_at: float
-    ) -> None:
-        """Record when a peer's configuration was last known to be the newest.
-
-        Args:
-            version: Version of the configuration in force at the peer.
-            age_seconds: Seconds since that version was last known to be the newest.
-            asked_at: When the peer was asked, as returned by ``read_age_clock``.
-        """
-
-    def record_evacuations(
-        self, zones: Collection[str], offset: int, peer: str
-    ) -> None:
-        """Record which zones are evacuated, according to a peer.
-
-        Args:
-            zones: The evacuated zones.
-            offset: Offset up to which the operator's records are included.
-            peer: Name of the peer.
-        """
-
-    def handle_peer_clock_known(self) -> None:
-        """Handle that a peer's clock has become known on a new stream.
-
-        From now on, leases can be sent to the peer.
-        """
-
-
 class Peer:
     """Another node, and the outgoing stream to it.
 
