Decode the load that backend servers state, and choose by their pace at the moment

Cause: the load header was read nowhere. Work takes 2.5 times as long for 0.6 s at a time on shared machines; the moving average of service times shows that when it is over.

Answers and broadcasts carry the slowdown to other nodes, which multiply the expected service time by it and send no calls there at random. Without a fourth figure nothing changes.

Weighed: the broadcast every half second alone (a slowdown of 0.6 s is half over), figures on each answer (one byte more, taken, with the broadcast), asking candidates with health checks (not built). Where a node calls a server less than once a second, as here, the broadcast tells of half of each slowdown.

--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -232,6 +232,13 @@
     "together; 0 once they no longer do. Logged at each change, and every second while "
     "a limit is in force; `sent` counts the requests since the last second's line.",
 )
+BACKEND_SLOWED = _define(
+    328,
+    "info",
+    "backend server slowed down or recovered",
+    "How long work takes there now, as a multiple of the average, as it states in its "
+    "answers. While it is slow, calls go to others.",
+)
 PEER_EJECTED = _define(
     330,
     "info",
--- a/primroseglade/platform/backend_statements.py
+++ b/primroseglade/platform/backend_statements.py
@@ -4,8 +4,13 @@
 from collections.abc import Sequence
 
 from ..sidecar.http_messages import RawHeaders
-from ..sidecar.statements import NO_STATEMENTS, StatedLimit, Statements
-from .names import LEAVING, REQUEST_LIMIT
+from ..sidecar.statements import (
+    NO_STATEMENTS,
+    StatedLimit,
+    StatedLoad,
+    Statements,
+)
+from .names import LEAVING, LOAD, REQUEST_LIMIT
 
 # More than any single backend server can serve.
 MAX_REQUESTS_PER_SECOND = 1e6
@@ -13,6 +18,17 @@
     f"expected one decimal number above 0, at most {MAX_REQUESTS_PER_SECOND:.0f}"
 )
 LEAVES = b"1"
+# More than any single backend server runs, queues or has slots for.
+MAX_STATED_REQUESTS = 1_000_000
+# Bounds of the stated time that work takes, in percent of the usual time.
+MIN_WORK_TIME_PERCENT = 1
+MAX_WORK_TIME_PERCENT = 10_000
+EXPECTED_LOAD = (
+    f"expected 3 whole numbers from 0 to {MAX_STATED_REQUESTS} (running, waiting, "
+    f"slots), the last above 0, and optionally a percentage from "
+    f"{MIN_WORK_TIME_PERCENT} to {MAX_WORK_TIME_PERCENT}"
+)
+WHOLE_NUMBER = re.compile(rb"\d{1,7}")
 # Longer values are cut off in log lines.
 MAX_LOGGED_CHARACTERS = 40
 DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
@@ -27,21 +43,50 @@
     True
     >>> read_statements([(b"Server-Limit", b"-1")]).errors
     ("request limit '-1': expected one decimal number above 0, at most 1000000",)
+    >>> read_statements(
+    ...     [(b"X-Primroseglade-Upstream-Load", b"3,0,8,250")]
+    ... ).load.work_time_ratio
+    2.5
     """
     limits: list[bytes] = []
     leavings: list[bytes] = []
+    loads: list[bytes] = []
     for name, value in headers:
         lower = name.lower()
-        if lower == REQUEST_LIMIT:
+        if lower == LOAD:
+            loads.append(value)
+        elif lower == REQUEST_LIMIT:
             limits.append(value)
         elif lower == LEAVING:
             leavings.append(value)
-    if not limits and not leavings:
+    if not limits and not leavings and not loads:
         return NO_STATEMENTS
     errors: list[str] = []
     limit = _read_limit(limits, errors) if limits else None
     draining = bool(leavings) and _read_leaving(leavings, errors)
-    return Statements(limit, draining, tuple(errors))
+    load = _read_load(loads, errors) if loads else None
+    return Statements(limit, draining, tuple(errors), load)
+
+
+def _read_load(values: Sequence[bytes], errors: list[str]) -> StatedLoad | None:
+    """Return the stated load, or None if it is invalid."""
+    figures = _split_values(values)
+    if (
+        len(figures) not in (3, 4)
+        or not all(WHOLE_NUMBER.fullmatch(figure) for figure in figures)
+        or not all(int(figure) <= MAX_STATED_REQUESTS for figure in figures)
+    ):
+        errors.append(f"load {_quote(figures)}: {EXPECTED_LOAD}")
+        return None
+    running, waiting, slots, *percentages = map(int, figures)
+    if not slots or not all(
+        MIN_WORK_TIME_PERCENT <= percentage <= MAX_WORK_TIME_PERCENT
+        for percentage in percentages
+    ):
+        errors.append(f"load {_quote(figures)}: {EXPECTED_LOAD}")
+        return None
+    work_time_ratio = percentages[0] / 100 if percentages else None
+    return StatedLoad(running, waiting, slots, work_time_ratio)
 
 
 def _read_limit(values: Sequence[bytes], errors: list[str]) -> StatedLimit:
--- a/primroseglade/platform/names.py
+++ b/primroseglade/platform/names.py
@@ -19,6 +19,9 @@
 REQUEST_LIMIT = b"server-limit"
 # In all answers of a backend server that is about to stop, with the value 1.
 LEAVING = b"server-leaving"
+# Load of the backend server: requests running, waiting and slots; from some also how
+# long work takes at this moment, in percent of the usual time.
+LOAD = b"x-primroseglade-upstream-load"
 HOST = b"host"
 CONNECTION = b"connection"
 # In answers to health checks only.
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -87,6 +87,7 @@
         peer.start_rate,
         state.request_limit,
         state.probe_due,
+        peer.slowdown,
     )
 
 
--- a/primroseglade/sidecar/frames.py
+++ b/primroseglade/sidecar/frames.py
@@ -141,6 +141,8 @@
         draining: Whether the answer states that the backend server is about to stop.
         start_time_ms: Start time of the backend server that answered, in Unix
             milliseconds; only if it is draining.
+        slowdown_percent: How long work takes there at this moment, in percent of the
+            average, as it states itself.
     """
 
     id: int
@@ -151,6 +153,7 @@
     in_flight: int
     draining: bool = False
     start_time_ms: int = 0
+    slowdown_percent: int = 100
 
 
 class CallRefused(msgspec.Struct, array_like=True, tag=7):
--- a/primroseglade/sidecar/load_balancing.py
+++ b/primroseglade/sidecar/load_balancing.py
@@ -38,6 +38,8 @@
 PROBE_RATIO = 0.1
 # Utilization below which a backend server has spare capacity for calls sent at random.
 EXPLORATION_MAX_UTILIZATION = 0.7
+# Slowdown from which on a backend server gets no calls at random.
+EXPLORATION_MAX_SLOWDOWN = 1.5
 
 
 class Candidate:
@@ -57,6 +59,8 @@
             cold; 0 if starts are not limited.
         request_limit: Calls per second that the backend server takes; 0 for no limit.
         probe_due: Whether a call is needed to show if that limit is still in force.
+        slowdown: How long work takes there at this moment, as a multiple of the average
+            that ``service_ms`` shows.
     """
 
     __slots__ = (
@@ -69,6 +73,7 @@
         "same_zone",
         "service_ms",
         "slots",
+        "slowdown",
         "start_rate",
     )
 
@@ -84,6 +89,7 @@
         start_rate: float = 0.0,
         request_limit: float = 0.0,
         probe_due: bool = False,
+        slowdown: float = 1.0,
     ):
         self.name = name
         self.same_zone = same_zone
@@ -94,6 +100,7 @@
         self.start_rate = start_rate
         self.request_limit = request_limit
         self.probe_due = probe_due
+        self.slowdown = slowdown
         self.downstream_cost_ms = downstream_cost_ms
 
 
@@ -136,14 +143,16 @@
     600.0
     >>> estimate_cost_ms(Candidate("limited", True, 1, 0, 15.0, 0.0, request_limit=8.0))
     125.0
+    >>> slowed = Candidate("slowed", True, 20, 10, 15.0, 0.0, slowdown=2.5)
+    >>> estimate_cost_ms(slowed) == 2.5 * estimate_cost_ms(idle)
+    True
     """
     if candidate.start_rate:
         return (candidate.in_flight + 1) / candidate.start_rate * 1000
     utilization = (candidate.in_flight + 1) / max(1, candidate.slots)
     queued_per_slot = max(0.0, utilization - 1.0)
-    cost_ms = max(1.0, candidate.service_ms) * (
-        1.0 + min(utilization, 1.0) ** 2 + queued_per_slot
-    )
+    work_ms = max(1.0, candidate.service_ms) * candidate.slowdown
+    cost_ms = work_ms * (1.0 + min(utilization, 1.0) ** 2 + queued_per_slot)
     return max(cost_ms, _estimate_limited_ms(candidate))
 
 
@@ -209,6 +218,7 @@
             for candidate in same_zone_candidates
             if candidate.in_flight < EXPLORATION_MAX_UTILIZATION * candidate.slots
             and not candidate.start_rate
+            and candidate.slowdown < EXPLORATION_MAX_SLOWDOWN
         ]
         if available:
             return rng.choice(available)
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -354,6 +354,9 @@
         probe_due: Whether a call is needed to show if that limit is still in force.
         start_time_ms: Unix time of the backend server's start, in milliseconds; 0 if
             not reported.
+        blocked: Calls running at the backend server that wait for calls of their own.
+        slowdown_percent: How long work takes at the backend server at this moment, in
+            percent of the average, as it states itself.
     """
 
     instance: str = ""
@@ -374,6 +377,8 @@
     request_limit: float = 0.0
     probe_due: bool = False
     start_time_ms: int = 0
+    blocked: int = 0
+    slowdown_percent: int = 100
 
     def copy(self) -> "NodeState":
         """Return a shallow copy, to be modified independently."""
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -34,6 +34,7 @@
 from .streams import FrameStream
 from .token_broker import GrantHandler
 from .token_requests import TokenRequests
+from .work_pace import fade_slowdown
 
 # A ping is sent if requests are pending and nothing was received for this long. While
 # answers arrive, they show that the peer is alive.
@@ -69,6 +70,8 @@
         self.state = NodeState()
         self._loop = asyncio.get_running_loop()
         self.in_flight = 0.0
+        self._slowdown = 1.0
+        self._slowdown_at = 0.0
         self._cold_until = 0.0
         # Start times of backend servers that stated in answers to this node that they
         # are about to stop, by instance ID.
@@ -132,6 +135,13 @@
         """Seconds for which its backend server is still cold."""
         return max(0.0, self._cold_until - time.monotonic())
 
+    @property
+    def slowdown(self) -> float:
+        """How long work takes there at this moment, as a multiple of the average."""
+        if self._slowdown == 1.0:
+            return 1.0
+        return fade_slowdown(self._slowdown, time.monotonic() - self._slowdown_at)
+
     @property
     def has_pending_requests(self) -> bool:
         """Whether requests await the peer's reply."""
@@ -177,6 +187,7 @@
         self.state = state
         self._cold_until = time.monotonic() + state.cold_ms / 1000
         self.record_in_flight(state.in_flight)
+        self._record_slowdown(state.slowdown_percent)
         self.failure_ratio = state.failure_ratio
         self._host.record_evacuations(
             state.evacuated_zones, state.operator_offset, self.entry.name
@@ -188,6 +199,10 @@
         """Record the number of calls in flight at the peer's backend server."""
         self.in_flight = in_flight
 
+    def _record_slowdown(self, percent: int) -> None:
+        self._slowdown = percent / 100
+        self._slowdown_at = time.monotonic()
+
     async def call(self, call: Call) -> CallAnswer:
         """Run a call on the node's backend server and return the answer.
 
@@ -210,6 +225,7 @@
         self.failure_ratio += FAILURE_SMOOTHING * (failed - self.failure_ratio)
         if isinstance(reply, CallAnswer):
             self.record_in_flight(reply.in_flight)
+            self._record_slowdown(reply.slowdown_percent)
             if reply.draining:
                 self._drained_start_times[call.instance] = reply.start_time_ms
             return reply
--- a/primroseglade/sidecar/statements.py
+++ b/primroseglade/sidecar/statements.py
@@ -14,6 +14,32 @@
         self.calls_per_second = calls_per_second
 
 
+class StatedLoad:
+    """Load of the backend server at the time of an answer.
+
+    Args:
+        running: Requests that it runs.
+        waiting: Requests that wait for a slot there.
+        slots: Requests that it can run concurrently.
+        work_time_ratio: How long work takes at this moment, as a multiple of the usual
+            time; None if the answer does not say.
+    """
+
+    __slots__ = ("running", "slots", "waiting", "work_time_ratio")
+
+    def __init__(
+        self,
+        running: int,
+        waiting: int,
+        slots: int,
+        work_time_ratio: float | None = None,
+    ):
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.work_time_ratio = work_time_ratio
+
+
 class Statements:
     """Everything that an answer states about the backend server.
 
@@ -21,19 +47,22 @@
         request_limit: Limit on requests; None if the answer states none.
         draining: Whether the backend server is about to stop.
         errors: What is wrong with invalid values.
+        load: Load of the backend server; None if the answer states none.
     """
 
-    __slots__ = ("draining", "errors", "request_limit")
+    __slots__ = ("draining", "errors", "load", "request_limit")
 
     def __init__(
         self,
         request_limit: StatedLimit | None = None,
         draining: bool = False,
         errors: tuple[str, ...] = (),
+        load: StatedLoad | None = None,
     ):
         self.request_limit = request_limit
         self.draining = draining
         self.errors = errors
+        self.load = load
 
 
 NO_STATEMENTS = Statements()
