Let calls carry the request they belong to; count, queue and weigh load by it

Cause: a call that a backend server makes was as urgent as any other, whoever it was made for.

Change: the ID of a nested call begins with that of the call it is made for, a dot between them (seen on the wire; a question in PLATFORM.md). The node beside the backend server finds the running call by it (`running_calls.py`). Its request's rank, workspace, target and weight go with the call (`request_context.py`), as does the number of calls that will follow in the same run. Then - calls per run are counted, of runs that succeed (`run_counts.py`); the regression stays for platforms whose calls do not name their runs, - the queue orders calls by urgency, target, lateness and calls left, as bounded delays: no call is overtaken by one that arrives later than these (`queue_order.py`); calls of less urgent requests no longer fill the queue for more urgent ones, - calls that wait for calls of their own, and that time, are left out of the load that admission sees. Event 508 tells who waited, `explain` names it; metrics queued, blocked, slowdown_ratio. Mixed builds: an unknown request counts as the most urgent.

Also moved: what a call is on its way, and the adapter's protocol for backend servers.

--- a/primroseglade/emulator/mesh.py
+++ b/primroseglade/emulator/mesh.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from ..observe.events import Journal
-from ..sidecar.backend import ParsedAnswerHead
+from ..sidecar.backend_dialect import ParsedAnswerHead
 from ..sidecar.frames import (
     Call,
     CallAnswer,
--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -343,6 +343,14 @@
     "enforced rate and burst, the share of both that nodes lend to this holder, calls "
     "per second that request tokens here, and the tokens left.",
 )
+CALLS_WAITED = _define(
+    508,
+    "info",
+    "calls waited at the backend server",
+    "Calls that found no free slot in the last second, by urgency level (0 the most "
+    "urgent): started, refused, and the longest wait in seconds. `blocked` calls hold "
+    "slots while they wait for calls of their own.",
+)
 LINES_DROPPED = _define(
     590,
     "warning",
--- a/primroseglade/observe/explain.py
+++ b/primroseglade/observe/explain.py
@@ -17,6 +17,7 @@
     CALL_FAILED,
     CALL_REFUSED,
     CALL_RETRIED,
+    CALLS_WAITED,
     EVACUATION_ENDED,
     EVACUATION_STARTED,
     EVENT_CATALOG,
@@ -30,6 +31,8 @@
 CONTEXT_WINDOW_SECONDS = 2.0
 # Clocks of instances differ, and a warm-up is logged at its start only.
 WARM_UP_WINDOW_SECONDS = 10.0
+# How the details of refusals by the queue of a backend server begin.
+QUEUE_DETAILS = ("queue is full", "cannot meet its deadline", "no slot in time")
 # Events that name a request, in the order in which they occur.
 EVENT_ORDER = (
     CALL_RETRIED.number,
@@ -160,6 +163,8 @@
 def _explain_overload(
     last: LogLine, nearby: list[LogLine], lines: list[LogLine]
 ) -> Cause:
+    if str(last.get("detail")).startswith(QUEUE_DETAILS):
+        return _explain_queue(last, lines)
     level_lines = [line for line in nearby if line.number == ADMISSION_LEVELS.number]
     if not level_lines:
         return [], f"The request was refused as overloaded: {last.get('detail')}."
@@ -177,6 +182,24 @@
     return [nearest], text
 
 
+def _explain_queue(last: LogLine, lines: list[LogLine]) -> Cause:
+    """Explain a refusal by the queue of a backend server."""
+    waiting_lines = [
+        line
+        for line in lines
+        if line.number == CALLS_WAITED.number
+        and abs(line.time - last.time) <= CONTEXT_WINDOW_SECONDS
+    ]
+    text = (
+        "The request was admitted, and refused by the queue of a backend server: "
+        f"{last.get('detail')}"
+    )
+    if waiting_lines:
+        instances = ", ".join(sorted({line.instance for line in waiting_lines}))
+        text += f". Calls waited at about that time beside {instances}"
+    return waiting_lines, f"{text}. The request did not run."
+
+
 @_finds_cause_of(CALL_REFUSED.number, "backend-cold")
 def _explain_cold(last: LogLine, nearby: list[LogLine], lines: list[LogLine]) -> Cause:
     cold_lines = [
--- a/primroseglade/platform/dialect.py
+++ b/primroseglade/platform/dialect.py
@@ -2,7 +2,7 @@
 
 import math
 
-from ..sidecar.backend import ParsedAnswerHead
+from ..sidecar.backend_dialect import ParsedAnswerHead
 from ..sidecar.frames import Call
 from ..sidecar.health_check import HealthAnswer
 from ..sidecar.http_client import Response
@@ -55,7 +55,7 @@
                 seconds = _parse_ms(value)
             elif lower == AUTHORIZATION and value[:6].lower() == KEY_SCHEME:
                 key = value[6:].strip()
-        return CallerFields(request_id, host, key, seconds)
+        return CallerFields(request_id, host, key, seconds, _read_parent_id(request_id))
 
     def render_request(self, request: Request, service: str, tenant: str) -> bytes:
         """Return the head to forward, to which ``finish_request`` adds headers.
@@ -178,6 +178,18 @@
         return HealthAnswer(instance, cold_seconds)
 
 
+def _read_parent_id(request_id: bytes) -> bytes:
+    """Return the ID of the call for which a backend server makes another.
+
+    The ID of such a call is that of the call it is made for, a dot, and a part of its
+    own. The result is empty for other calls.
+
+    >>> _read_parent_id(b"26eb7360.7d6cbbda.67c3911b")
+    b'26eb7360.7d6cbbda'
+    """
+    return request_id.rpartition(b".")[0]
+
+
 def _split_tokens(value: bytes) -> frozenset[bytes]:
     return frozenset(token.strip().lower() for token in value.split(b","))
 
--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -62,6 +62,10 @@
     one of five becomes twelve times slower, it counts for a sixtieth of the service's
     former capacity. Weighting by slots alone would let its long queue cause refusals
     while the other four are half idle.
+
+    Calls that wait for calls of their own are left out, and so is the time for which
+    they wait. Else services that call an overloaded one would count as overloaded, too,
+    and refuse requests that need nothing of it.
     """
 
     __slots__ = (
@@ -158,7 +162,8 @@
         """Add a backend server at which starts are not limited.
 
         Args:
-            in_flight: Running and queued calls.
+            in_flight: Running and queued calls, except those that wait for calls of
+                their own.
             slots: Calls that the backend server can run concurrently.
             slot_ms: Average milliseconds for which a call holds a slot; 0 before the
                 first call.
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -4,19 +4,18 @@
 import math
 import time
 from collections.abc import Callable
-from typing import Protocol
 
 from ..observe.events import (
     BACKEND_ANNOUNCED,
     BACKEND_COLD,
     BACKEND_DRAINING,
-    BACKEND_LIMIT,
     BACKEND_REPORT_REFUSED,
     BACKEND_UNAVAILABLE,
     Journal,
     VALUE_IGNORED,
 )
 from ..verdicts import may_have_run, not_run, Reason, Refusal
+from .backend_dialect import BackendDialect, ParsedAnswerHead, ServedAnswer
 from .backend_queue import BackendQueue
 from .call_ratios import CallRatioEstimator
 from .failure_ratio import FailureRatio
@@ -26,9 +25,13 @@
 from .http_messages import MIN_FAILURE_STATUS
 from .load_balancing import Candidate
 from .model import BackendState, StatusReport
+from .request_context import read_context
 from .request_limit import RequestLimit
-from .statements import NO_STATEMENTS, Statements
+from .running_calls import RunningCalls
+from .statement_recorder import StatementRecorder
+from .statements import Statements
 from .warm_up import WarmUp
+from .work_pace import WorkPace
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 # A call with less time until its deadline is not sent: its answer would be too late.
@@ -49,68 +52,6 @@
 EVACUATED_DETAIL = "the backend server's zone is evacuated"
 
 
-class ParsedAnswerHead:
-    """The head of a backend server's answer, as parsed by the platform's adapter.
-
-    Args:
-        head: Status line and headers to forward.
-        request_id: ID of the request that the answer names; empty if none.
-        signed: Whether the answer carries the backend server's signature.
-        not_executed: Whether the answer states that the request was not executed.
-        statements: What the answer states about the backend server.
-    """
-
-    __slots__ = ("head", "not_executed", "request_id", "signed", "statements")
-
-    def __init__(
-        self,
-        head: bytes,
-        request_id: bytes,
-        signed: bool,
-        not_executed: bool,
-        statements: Statements = NO_STATEMENTS,
-    ):
-        self.head = head
-        self.request_id = request_id
-        self.signed = signed
-        self.not_executed = not_executed
-        self.statements = statements
-
-
-class BackendDialect(Protocol):
-    """Builds requests to backend servers and parses their answers, for one platform."""
-
-    def finish_request(self, call: Call, remaining: float) -> bytes:
-        """Return the bytes of a request for the backend server.
-
-        Args:
-            call: The call to send.
-            remaining: Seconds until the call's deadline.
-        """
-
-    def read_answer(self, answer: Response) -> ParsedAnswerHead:
-        """Parse a backend server's answer."""
-
-
-class ServedAnswer:
-    """The backend server's answer to a call: status, parsed head and body.
-
-    Attributes:
-        start_time_ms: Unix time of the start of the backend server that answered, in
-            milliseconds.
-    """
-
-    __slots__ = ("answer", "body", "start_time_ms", "status")
-
-    def __init__(
-        self, status: int, answer: ParsedAnswerHead, body: bytes, start_time_ms: int
-    ):
-        self.status = status
-        self.answer = answer
-        self.body = body
-        self.start_time_ms = start_time_ms
-
-
 class BackendRefusal(Refusal):
     """A refusal by the backend server itself, which the request has reached."""
 
@@ -126,6 +67,7 @@
         address: Address of the backend server, as configured by the platform.
         dialect: Builds requests and parses answers.
         call_ratios: Counts the calls that the backend server runs, by route.
+        running_calls: Receives the calls that run on the backend server.
         warm_up: Tracks whether the backend server is cold.
         request_limit: Tracks the limit on requests that the backend server states.
         journal: Logs changes of state.
@@ -143,6 +85,7 @@
         address: str,
         dialect: BackendDialect,
         call_ratios: CallRatioEstimator,
+        running_calls: RunningCalls,
         warm_up: WarmUp,
         request_limit: RequestLimit,
         journal: Journal,
@@ -154,6 +97,7 @@
         self._address = address
         self._dialect = dialect
         self._call_ratios = call_ratios
+        self._running_calls = running_calls
         self._journal = journal
         self._broadcast_state = broadcast_state
         self._persist_drain = persist_drain
@@ -177,8 +121,15 @@
         self.pool = ConnectionPool(address, CONNECT_TIMEOUT_SECONDS, self.assume_cold)
         self.warm_up = warm_up
         self.request_limit = request_limit
-        self._logged_sent_count = 0
-        self._logged_statement_errors: tuple[str, ...] = ()
+        self._work_pace = WorkPace()
+        self.statements = StatementRecorder(
+            service,
+            request_limit,
+            self._work_pace,
+            journal,
+            lambda: self._report.instance if self._report else "",
+            self._handle_limit_change,
+        )
         self.queue = BackendQueue(1, (warm_up, request_limit))
 
     @property
@@ -226,16 +177,24 @@
 
     @property
     def slot_ms(self) -> float:
-        """Average milliseconds for which a call holds a slot, 0 before the first."""
+        """Average milliseconds for which a call holds a slot, 0 before the first.
+
+        Without the time for which the backend server waits for calls of its own.
+        """
         if not self.queue.has_measurement:
             return 0.0
-        return round(self.queue.slot_seconds * 1000, 2)
+        return round(self.queue.work_seconds * 1000, 2)
 
     @property
     def failure_ratio(self) -> float:
         """Fraction of recent calls that failed."""
         return self._failure_ratio.value
 
+    @property
+    def slowdown_percent(self) -> int:
+        """How long work takes at this moment, in percent of the average."""
+        return round(self._work_pace.get_slowdown(time.monotonic()) * 100)
+
     @property
     def start_time_ms(self) -> int:
         """Start time of the reported incarnation in ms, 0 before the first report."""
@@ -259,6 +218,7 @@
             start_rate=self.warm_up.start_rate,
             request_limit=self.request_limit.rate,
             probe_due=self.request_limit.is_probe_due,
+            slowdown=self._work_pace.get_slowdown(time.monotonic()),
         )
 
     def enable(self) -> None:
@@ -404,12 +364,18 @@
         self._check_instance(call)
         deadline = time.monotonic() + remaining
         _check_remaining_time(remaining)
+        context = read_context(call.context, time.monotonic())
         slot = await self.queue.acquire(
-            call.latency_target_ms / 1000, remaining, call.nested
+            call.latency_target_ms / 1000,
+            remaining,
+            call.nested,
+            context,
+            call.calls_left,
         )
         started = time.monotonic()
         completed = succeeded = False
         self._call_ratios.record_start(call.route, started)
+        running_call = self._running_calls.start(call.request_id, call.route, context)
         try:
             # The backend server may have been drained while the call was queued.
             self._check_instance(call)
@@ -426,8 +392,12 @@
             raise
         finally:
             now = time.monotonic()
-            self._call_ratios.record_end(call.route, started, now, succeeded)
-            self.queue.release(slot, now - started, completed)
+            self._running_calls.end(running_call)
+            self._call_ratios.record_end(
+                call.route, started, now, succeeded, running_call.calls
+            )
+            blocked_seconds = running_call.measure_blocked_seconds(now)
+            self.queue.release(slot, now - started, completed, blocked_seconds)
 
     def _reset_for_incarnation(self, report: StatusReport) -> None:
         """Replace the state that was kept for the previous incarnation."""
@@ -495,27 +465,18 @@
             assumed=self.warm_up.is_assumed,
         )
 
-    def log_request_limit(self) -> None:
-        """Log the stated limit if there is one; to be called once per second."""
-        sent_count = self.request_limit.sent_count
-        if self.request_limit.rate:
-            self._log_request_limit()
-        self._logged_sent_count = sent_count
-
-    def _log_request_limit(self) -> None:
-        self._journal.emit(
-            BACKEND_LIMIT,
-            backend=self._report and self._report.instance,
-            calls_per_second=self.request_limit.rate,
-            sent=self.request_limit.sent_count - self._logged_sent_count,
+    def log(self) -> None:
+        """Log what has changed in the last second."""
+        self.statements.log_changes()
+        self.queue.statistics.log(
+            self._journal,
+            self.instance,
+            self.queue.queued,
+            self._running_calls.count_blocked(),
         )
 
     def _record_statements(
-        self,
-        statements: Statements,
-        instance: str,
-        start_time_ms: int,
-        sent_at: float,
+        self, statements: Statements, instance: str, start_time_ms: int, sent_at: float
     ) -> None:
         """Record what an answer states about the backend server.
 
@@ -525,17 +486,15 @@
             start_time_ms: Start time of its incarnation.
             sent_at: ``time.monotonic()`` when the answered call was sent.
         """
-        if statements.errors and statements.errors != self._logged_statement_errors:
-            self._logged_statement_errors = statements.errors
-            for error in statements.errors:
-                self._journal.emit(VALUE_IGNORED, service=self._service, reason=error)
+        self.statements.log_errors(statements)
         if statements.draining:
             self._record_stated_drain(instance, start_time_ms)
         elif instance == self.instance and start_time_ms == self.start_time_ms:
-            if self.request_limit.record_statement(statements.request_limit, sent_at):
-                self._log_request_limit()
-                self.queue.start_queued_calls()
-                self._broadcast_state()
+            self.statements.record(statements, sent_at)
+
+    def _handle_limit_change(self) -> None:
+        self.queue.start_queued_calls()
+        self._broadcast_state()
 
     def _record_stated_drain(self, instance: str, start_time_ms: int) -> None:
         """Drain a backend server that states in an answer that it is about to stop."""
--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -11,15 +11,15 @@
 import time
 from collections.abc import Sequence
 
-from ..verdicts import not_run, Reason
+from ..verdicts import not_run, Reason, Refusal
+from .queue_order import compute_sort_time, get_level
+from .queue_statistics import QueueStatistics
+from .request_context import RequestContext
 from .start_limit import StartLimit
 
 # Concurrency limit, as a fraction of the backend server's slots. A backend server slows
 # down when nearly all of its slots are taken: using the last ones reduces throughput.
 CONCURRENCY_LIMIT_RATIO = 15 / 16
-# Queued calls are sorted by arrival time plus this many latency targets. A call with a
-# short target thus overtakes calls with longer targets, unless they have waited long.
-LATENCY_TARGET_WEIGHT = 3.0
 # Weight of a new service time in the moving averages, which cover about 30 calls.
 SERVICE_TIME_SMOOTHING = 1 / 32
 # Assumed service time before the first answer.
@@ -44,12 +44,17 @@
 MAX_NESTED_RESPONSE_SERVICE_TIMES = 2.0
 
 
+# Number of queued calls that are compared with a new one.
+MAX_SAMPLED_CALLS = 64
+
+
 class BackendQueue:
     """Limits the calls that run on the backend server and queues the others.
 
-    Queued calls are ordered by arrival time and latency target. A call that cannot meet
-    its deadline is refused on arrival, while another backend server may still serve it,
-    instead of when its deadline is near.
+    Queued calls are ordered by urgency and by the time left to their latency targets
+    (`queue_order.py`). A call that cannot meet its deadline is refused on arrival,
+    while another backend server may still serve it, instead of when its deadline is
+    near.
 
     Args:
         slots: Calls that the backend server can run concurrently. The concurrency limit
@@ -71,15 +76,18 @@
         self._ids = itertools.count()
         self._queued = 0
         # Moving averages: the service time of all calls, the time for which a call
-        # holds a slot, and the service time of answered calls.
+        # holds a slot, the part of that for which the backend server works on it, and
+        # the service time of answered calls.
         self._service_seconds = INITIAL_SERVICE_SECONDS
         self._slot_seconds = INITIAL_SERVICE_SECONDS
+        self._work_seconds = INITIAL_SERVICE_SECONDS
         self._completed_service_seconds = INITIAL_SERVICE_SECONDS
         # Time at which each slot was acquired, by ID, the oldest first; and IDs of
         # reclaimed slots whose calls still wait for an answer.
         self._slot_acquired_at: dict[int, float] = {}
         self._reclaimed_slots: set[int] = set()
         self._has_measurement = False
+        self.statistics = QueueStatistics()
         # Integral of the calls in flight over time, since the start of the average.
         self._in_flight_integral = 0.0
         self._integrated_until = 0.0
@@ -96,6 +104,11 @@
         """Number of running and queued calls."""
         return self._running + self._queued
 
+    @property
+    def queued(self) -> int:
+        """Number of queued calls."""
+        return self._queued
+
     @property
     def running(self) -> int:
         """Number of running calls, except those whose slot was reclaimed."""
@@ -116,6 +129,15 @@
         """Average time for which a call holds a slot."""
         return self._slot_seconds
 
+    @property
+    def work_seconds(self) -> float:
+        """Average time for which the backend server works on a call.
+
+        This is the time for which the call holds a slot, less the time for which it
+        waits for calls that the backend server makes for it.
+        """
+        return self._work_seconds
+
     def resize(self, slots: int) -> None:
         """Set the number of slots, and start queued calls on any that are added."""
         self._concurrency_limit = max(1, int(slots * CONCURRENCY_LIMIT_RATIO))
@@ -141,7 +163,12 @@
         return average
 
     async def acquire(
-        self, latency_target: float, remaining: float, nested: bool
+        self,
+        latency_target: float,
+        remaining: float,
+        nested: bool,
+        context: RequestContext | None = None,
+        calls_left: int = 0,
     ) -> int:
         """Wait for a slot and return its ID.
 
@@ -149,6 +176,8 @@
             latency_target: Seconds within which the answer should arrive.
             remaining: Seconds until the call's deadline.
             nested: Whether another backend server makes the call.
+            context: The request that the call belongs to; None if unknown.
+            calls_left: Number of calls that will follow this one in the same run.
 
         Raises:
             Refusal: The queue is full, or the call cannot meet its deadline; the
@@ -162,20 +191,8 @@
             and not self._get_start_delay()
         ):
             return self._take_slot(now)
-        max_queued_per_slot = (
-            MAX_NESTED_QUEUED_PER_SLOT if nested else MAX_QUEUED_PER_SLOT
-        )
-        if self._queued >= self._concurrency_limit * max_queued_per_slot:
-            strictest_limit = self._find_strictest_limit(self._queued)
-            raise not_run(
-                strictest_limit.reason if strictest_limit else Reason.OVERLOADED,
-                f"queue is full: {self._queued} calls",
-            )
-        sort_time = now + LATENCY_TARGET_WEIGHT * max(0.0, latency_target)
+        sort_time = compute_sort_time(now, latency_target, context, calls_left)
         calls_ahead = self._count_ahead(sort_time)
-        expected_wait = (
-            (calls_ahead + 1) * self._service_seconds / self._concurrency_limit
-        )
         max_response_seconds = remaining
         if nested:
             max_nested_seconds = max(
@@ -183,6 +200,49 @@
                 MAX_NESTED_RESPONSE_SERVICE_TIMES * self._service_seconds,
             )
             max_response_seconds = min(remaining, max_nested_seconds)
+        level = get_level(context.rank) if context is not None else None
+        try:
+            # Calls of less urgent requests must not fill the queue for more urgent
+            # ones.
+            self._check_length(
+                nested, calls_ahead if context is not None else self._queued
+            )
+            self._check_wait(calls_ahead, max_response_seconds)
+            slot = await self._wait_for_slot(sort_time, now, remaining)
+        except Refusal:
+            self.statistics.record_refusal(level)
+            raise
+        self.statistics.record_start(level, time.monotonic() - now)
+        return slot
+
+    def _check_length(self, nested: bool, counted_calls: int) -> None:
+        """Refuse a call if too many calls are queued.
+
+        Args:
+            nested: Whether another backend server makes the call.
+            counted_calls: Queued calls that count against it.
+        """
+        max_queued_per_slot = (
+            MAX_NESTED_QUEUED_PER_SLOT if nested else MAX_QUEUED_PER_SLOT
+        )
+        if counted_calls < self._concurrency_limit * max_queued_per_slot:
+            return
+        strictest_limit = self._find_strictest_limit(self._queued)
+        raise not_run(
+            strictest_limit.reason if strictest_limit else Reason.OVERLOADED,
+            f"queue is full: {counted_calls} calls",
+        )
+
+    def _check_wait(self, calls_ahead: int, max_response_seconds: float) -> None:
+        """Refuse a call that would be answered too late.
+
+        Args:
+            calls_ahead: Queued calls that start before it.
+            max_response_seconds: Seconds in which it has to be answered.
+        """
+        expected_wait = (
+            (calls_ahead + 1) * self._service_seconds / self._concurrency_limit
+        )
         strictest_limit = self._find_strictest_limit(calls_ahead)
         start_delay = (
             strictest_limit.get_start_delay(calls_ahead) if strictest_limit else 0.0
@@ -202,6 +262,15 @@
                 Reason.OVERLOADED,
                 f"cannot meet its deadline: {calls_ahead} calls ahead",
             )
+
+    async def _wait_for_slot(
+        self, sort_time: float, now: float, remaining: float
+    ) -> int:
+        """Queue a call until it gets a slot, and return the slot's ID.
+
+        Raises:
+            Refusal: There was no slot in time.
+        """
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[int] = loop.create_future()
         entry = (sort_time, next(self._ids), now + remaining, waiter)
@@ -242,7 +311,13 @@
                 self._queued -= 1
                 waiter.set_exception(not_run(reason, detail))
 
-    def release(self, slot: int, seconds: float, completed: bool = True) -> None:
+    def release(
+        self,
+        slot: int,
+        seconds: float,
+        completed: bool = True,
+        blocked_seconds: float = 0.0,
+    ) -> None:
         """Release a slot and record the service time of its call.
 
         Args:
@@ -252,19 +327,23 @@
                 only if it is above the average. If such times never counted, a backend
                 server that is slower than its callers' timeouts, and so answers no
                 call, would look as fast as before.
+            blocked_seconds: Time for which the call waited for calls that the backend
+                server made for it.
         """
         self._integrate_in_flight(time.monotonic())
         del self._slot_acquired_at[slot]
         for limit in self._start_limits:
             limit.cancel_start(slot)
-        self._record_service_time(seconds, completed)
+        self._record_service_time(seconds, completed, blocked_seconds)
         if slot in self._reclaimed_slots:
             self._reclaimed_slots.discard(slot)
             return
         self._running -= 1
         self.start_queued_calls()
 
-    def _record_service_time(self, seconds: float, completed: bool) -> None:
+    def _record_service_time(
+        self, seconds: float, completed: bool, blocked_seconds: float
+    ) -> None:
         if not completed and seconds <= self._service_seconds:
             return
         weight = SERVICE_TIME_SMOOTHING if self._has_measurement else 1.0
@@ -277,6 +356,8 @@
             seconds, MAX_SLOT_SERVICE_TIMES * self._completed_service_seconds
         )
         self._slot_seconds += weight * (held_seconds - self._slot_seconds)
+        worked_seconds = min(held_seconds, max(0.0, seconds - blocked_seconds))
+        self._work_seconds += weight * (worked_seconds - self._work_seconds)
         self._has_measurement = True
 
     def _get_start_delay(self, calls_ahead: int = 0) -> float:
@@ -349,8 +430,9 @@
         """Return about how many queued calls precede a call with this sort time."""
         if self._queued < 16:
             return sum(entry[0] <= sort_time for entry in self._waiters)
-        # Estimated from a sample: scanning a long queue for each call is too slow.
-        sample = self._waiters[:64]
+        # Estimated from a sample: scanning a long queue for each call is too slow. The
+        # whole heap is sampled, because the earliest times are near its beginning.
+        sample = self._waiters[:: len(self._waiters) // MAX_SAMPLED_CALLS + 1]
         fraction_ahead = sum(entry[0] <= sort_time for entry in sample) / len(sample)
         return int(fraction_ahead * self._queued)
 
--- a/primroseglade/sidecar/call_graph.py
+++ b/primroseglade/sidecar/call_graph.py
@@ -86,6 +86,26 @@
             )
         return expected_calls
 
+    def count_direct_calls(self, route: str, service: str, called: str) -> int:
+        """Return how many calls of a route one run is expected to make, rounded.
+
+        Args:
+            route: Name of the run's route.
+            service: Service that runs it.
+            called: Name of the called route.
+        """
+        return round(self._get_ratios((route, service)).get(called, 0.0))
+
+    def _get_ratios(self, route_service: RouteService) -> CallRatios:
+        """Return the calls per run of a route, by called route.
+
+        A route without call ratios of its own gets the average of its service.
+        """
+        ratios = self._call_ratios.get(route_service)
+        if ratios is None:
+            ratios = self._call_ratios.get(("", route_service[1]), {})
+        return ratios
+
     def list_downstream_calls(
         self, route_service: RouteService
     ) -> list[tuple[RouteService, float]]:
@@ -93,13 +113,9 @@
 
         Calls of a service to itself are left out.
         """
-        ratios = self._call_ratios.get(route_service)
-        if ratios is None:
-            # A route without call ratios of its own gets the average of its service.
-            ratios = self._call_ratios.get(("", route_service[1]), {})
         return [
             ((route, service), ratio * share)
-            for route, ratio in ratios.items()
+            for route, ratio in self._get_ratios(route_service).items()
             for service, share in self._split_by_weight(route)
             if service != route_service[1]
         ]
--- a/primroseglade/sidecar/call_ratios.py
+++ b/primroseglade/sidecar/call_ratios.py
@@ -1,16 +1,20 @@
 """Estimates how many calls the local backend server makes per run of each route.
 
-A run is one execution of a call by the backend server. The calls that the backend
-server makes do not name the run that makes them, and runs of several routes overlap:
-for example, uploads that make no calls and look-ups that make four. But the number of
-runs of each route varies from moment to moment, and the number of calls varies with it.
-A regression of calls on runs over many short intervals therefore separates the routes
-(ridge regression with exponential forgetting). A run that spans several intervals is
-divided among them. Without enough data, each route gets the average over all routes.
+A run is one execution of a call by the backend server. Where the calls that the backend
+server makes name the run that makes them, they are counted by run (`run_counts.py`).
+
+Elsewhere runs of several routes overlap: for example, uploads that make no calls and
+look-ups that make four. But the number of runs of each route varies from moment to
+moment, and the number of calls varies with it. A regression of calls on runs over many
+short intervals therefore separates the routes (ridge regression with exponential
+forgetting). A run that spans several intervals is divided among them. Without enough
+data, each route gets the average over all routes.
 """
 
 import collections
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+
+from .run_counts import RunCounts
 
 # About as long as the gaps between the calls of a run: in longer intervals, variations
 # average out.
@@ -46,6 +50,7 @@
 
 # Calls per run, by the route that is called.
 CallRatios = dict[str, float]
+NO_CALLS: Mapping[str, int] = {}
 
 
 class _Interval:
@@ -94,6 +99,7 @@
     """Counts runs and calls of the local backend server, and estimates their ratios."""
 
     def __init__(self) -> None:
+        self._run_counts = RunCounts()
         # The last intervals, the current one at the end.
         self._open: collections.deque[_Interval] = collections.deque()
         # Sums over all but the current interval: number of intervals, runs by route,
@@ -114,11 +120,18 @@
         While the load rises, more runs start than end, and those that have not ended
         make calls, too.
         """
+        if self._run_counts.is_complete:
+            return
         counts = self._get_interval(now).counts
         counts[route] = counts.get(route, 0.0) + 0.5
 
     def record_end(
-        self, route: str, started_at: float, now: float, succeeded: bool = True
+        self,
+        route: str,
+        started_at: float,
+        now: float,
+        succeeded: bool = True,
+        calls: Mapping[str, int] = NO_CALLS,
     ) -> None:
         """Count the other half of a run at its end.
 
@@ -127,7 +140,12 @@
             started_at: When `record_start` counted its start.
             now: Seconds on the loop's clock.
             succeeded: Whether the run was answered with success.
+            calls: Number of calls that named the run, by route.
         """
+        if succeeded:
+            self._run_counts.record_run(route, calls, now)
+        if self._run_counts.is_complete:
+            return
         interval = self._get_interval(now)
         interval.counts[route] = interval.counts.get(route, 0.0) + 0.5
         interval.ends += 1
@@ -140,8 +158,18 @@
         for open_interval in self._open:
             open_interval.add_share(route, since, now, seconds)
 
-    def record_call(self, route: str, now: float) -> None:
-        """Count a call that the local backend server makes."""
+    def record_call(self, route: str, now: float, attributed: bool = False) -> None:
+        """Count a call that the local backend server makes.
+
+        Args:
+            route: Route of the call.
+            now: Seconds on the loop's clock.
+            attributed: Whether the call names a running call; it is then counted when
+                that ends.
+        """
+        self._run_counts.record_call(attributed, now)
+        if self._run_counts.is_complete:
+            return
         calls = self._get_interval(now).calls
         calls[route] = calls.get(route, 0.0) + 1.0
 
@@ -154,6 +182,8 @@
         Args:
             now: Seconds on the loop's clock.
         """
+        if self._run_counts.is_complete:
+            return self._run_counts.get_ratios(now)
         self._get_interval(now)
         runs = sum(self._runs.values())
         if runs < MIN_RUNS:
--- a/primroseglade/sidecar/frames.py
+++ b/primroseglade/sidecar/frames.py
@@ -10,6 +10,7 @@
 
 from .frame_compression import DecompressionError, FrameCompressor, FrameDecompressor
 from .model import NodeEntry, NodeState
+from .request_context import ContextFields
 
 LENGTH_PREFIX = struct.Struct(">I")
 # Exceeds the maximum size of a request body plus headers.
@@ -107,6 +108,9 @@
         body: The complete body.
         sent_ms: When the call was sent, in milliseconds on the sender's clock, which
             differs from the receiver's.
+        context: The request of a caller that the call belongs to; None if unknown.
+        calls_left: Number of calls that will follow this one in the same run of the
+            backend server that makes them.
     """
 
     id: int
@@ -120,6 +124,8 @@
     head: bytes
     body: bytes
     sent_ms: int = 0
+    context: ContextFields | None = None
+    calls_left: int = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=5):
--- a/primroseglade/sidecar/load_monitor.py
+++ b/primroseglade/sidecar/load_monitor.py
@@ -8,6 +8,7 @@
 from .fleet import Fleet, Survey
 from .load_balancing import estimate_penalty_ms
 from .policy_tracker import PolicyTracker
+from .running_calls import RunningCalls
 from .zone_costs import ZoneCosts
 
 # Interval between rebuilds of the call graph. Shorter intervals would gain nothing: the
@@ -26,6 +27,7 @@
 
     Args:
         backend: The local backend server.
+        running_calls: The calls that run on it.
         fleet: The other nodes.
         admission: Receives the load and demand of each service.
         graph: Receives the call ratios of each service.
@@ -39,6 +41,7 @@
     def __init__(
         self,
         backend: Backend,
+        running_calls: RunningCalls,
         fleet: Fleet,
         admission: Admission,
         graph: CallGraph,
@@ -48,6 +51,7 @@
         journal: Journal,
     ):
         self._backend = backend
+        self._running_calls = running_calls
         self._fleet = fleet
         self._admission = admission
         self._graph = graph
@@ -61,6 +65,8 @@
         #: Average number of calls in flight at the local backend server between the
         #: last two ticks of the periodic scheduler.
         self.average_in_flight = 0.0
+        #: Calls running there that waited for calls of their own at the last tick.
+        self.blocked = 0
 
     def update(self, now: float) -> None:
         """Update admission levels, costs and graph; called at every scheduler tick."""
@@ -77,6 +83,7 @@
         survey = self._fleet.survey()
         backend = self._backend
         self.average_in_flight = backend.queue.take_average_in_flight()
+        self.blocked = self._running_calls.count_blocked()
         local_candidate = backend.build_candidate("")
         if local_candidate is not None:
             load = survey.loads.setdefault(backend.service, ServiceLoad())
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -342,7 +342,8 @@
             state delivered late by a relay is discarded.
         demand: Calls per second caused by requests of callers, admitted or not, by
             service.
-        slot_ms: Typical time for which a call holds a slot, in milliseconds.
+        slot_ms: Typical time for which a call holds a slot, in milliseconds, without
+            the time for which it waits for calls of its own.
         start_rate: Calls per second that may start at the backend server while it is
             cold; 0 if starts are not limited.
         cold_ms: Milliseconds for which the backend server stays cold.
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -15,7 +15,8 @@
 from ..supervisor import Supervisor
 from .admission import Admission
 from .answer_sizes import AnswerSizes
-from .backend import Backend, BackendDialect
+from .backend import Backend
+from .backend_dialect import BackendDialect
 from .backend_registration import BackendRegistration
 from .call_graph import CallGraph
 from .call_ratios import CallRatioEstimator
@@ -53,6 +54,7 @@
 from .request_handler import CallerDialect, RequestHandler
 from .request_limit import RequestLimit
 from .retry_budget import RetryBudget
+from .running_calls import RunningCalls
 from .server_connection import Handler
 from .state_broadcast import BROADCAST_SECONDS, StateBroadcaster
 from .warm_up import WarmUp
@@ -68,7 +70,7 @@
 # off.
 DEADLINE_CHECK_GRACE_RATIO = 0.45
 DRAIN_POLL_SECONDS = 0.05
-LIMIT_LOG_INTERVAL_SECONDS = 1.0
+BACKEND_LOG_INTERVAL_SECONDS = 1.0
 # Reserved at the end of the grace period for the exit of the process on a machine short
 # of processor time; a larger margin would cut off calls that are about to be answered.
 STOP_MARGIN_SECONDS = 0.85
@@ -130,11 +132,13 @@
             self._handle_policy,
         )
         self.call_ratios = CallRatioEstimator()
+        self.running_calls = RunningCalls()
         self.backend = Backend(
             settings.service,
             settings.backend,
             dialect,
             self.call_ratios,
+            self.running_calls,
             WarmUp(
                 lambda: self.policies.get_warm_up_limits(settings.service),
                 settings.cold_overshoot,
@@ -210,6 +214,7 @@
         )
         self._load_monitor = LoadMonitor(
             self.backend,
+            self.running_calls,
             self.fleet,
             self.admission,
             self.graph,
@@ -227,6 +232,7 @@
             self.admission,
             self.graph,
             self.call_ratios,
+            self.running_calls,
             self.retry_budget,
             self.dispatcher,
             self._deadlines,
@@ -276,6 +282,11 @@
         """Calls running and queued at the backend server."""
         return self.backend.queue.in_flight
 
+    @property
+    def slowdown_percent(self) -> int:
+        """How long work takes at the backend server, in percent of the average."""
+        return self.backend.slowdown_percent
+
     @property
     def ready(self) -> bool:
         """Whether callers should send requests to this node."""
@@ -460,9 +471,7 @@
         scheduler.add(self.rates.renew_lease)
         scheduler.add(self._peer_monitor.poll_policy_age, READER_POLL_SECONDS)
         scheduler.add(self.rates.monitor.log_buckets, RATE_LOG_INTERVAL_SECONDS)
-        scheduler.add(
-            lambda _: self.backend.log_request_limit(), LIMIT_LOG_INTERVAL_SECONDS
-        )
+        scheduler.add(lambda _: self.backend.log(), BACKEND_LOG_INTERVAL_SECONDS)
         scheduler.add(
             lambda _: log_cross_zone_bytes(self.cross_zone_bytes, self._journal),
             CROSS_ZONE_LOG_INTERVAL_SECONDS,
@@ -522,7 +531,8 @@
             backend.slots,
             round(self._load_monitor.average_in_flight, 2),
             backend.service_ms,
-            round(backend.failure_ratio, 3),
+            # A whole number takes one byte, a fraction nine.
+            round(backend.failure_ratio, 3) or 0,
             self.policies.version,
             demand=self.admission.measure_demand(time.monotonic()),
             slot_ms=backend.slot_ms,
@@ -533,6 +543,8 @@
             request_limit=backend.request_limit.rate,
             probe_due=backend.request_limit.is_probe_due,
             start_time_ms=backend.start_time_ms,
+            blocked=self._load_monitor.blocked,
+            slowdown_percent=backend.slowdown_percent,
         )
 
     def _estimate_cross_zone_surcharge_ms(self, name: str) -> float:
--- a/primroseglade/sidecar/node_metrics.py
+++ b/primroseglade/sidecar/node_metrics.py
@@ -199,6 +199,22 @@
             "Calls running and queued at the backend server.",
             node.backend_calls_in_flight,
         ),
+        (
+            "queued",
+            "Calls that wait for a slot of the backend server.",
+            queue.queued,
+        ),
+        (
+            "blocked",
+            "Calls running at the backend server that wait for calls of their own.",
+            node.running_calls.count_blocked(),
+        ),
+        (
+            "slowdown_ratio",
+            "How long work takes at the backend server now, as a multiple of the "
+            "average, as it states in its answers.",
+            node.slowdown_percent / 100,
+        ),
         (
             "slots",
             "Maximum concurrent calls to the backend server.",
--- a/primroseglade/sidecar/peer_server.py
+++ b/primroseglade/sidecar/peer_server.py
@@ -53,6 +53,10 @@
     def backend_calls_in_flight(self) -> int:
         """Calls running and queued at the backend server."""
 
+    @property
+    def slowdown_percent(self) -> int:
+        """How long work takes at the backend server, in percent of the average."""
+
     @property
     def evacuations(self) -> Evacuations:
         """The availability zones that operators have evacuated."""
@@ -172,6 +176,8 @@
             queueing_ms = self._measure_queueing_delay(stream, frame.sent_ms) * 1000
             frame.remaining_ms -= queueing_ms
             frame.latency_target_ms -= queueing_ms
+            if frame.context is not None:
+                frame.context.target_ms -= queueing_ms
             task = self._loop.create_task(self._serve(stream, frame))
             tasks[frame.id] = task
             task.add_done_callback(lambda _: tasks.pop(frame.id, None))
@@ -257,6 +263,7 @@
                 self._host.backend_calls_in_flight,
                 draining := served.answer.statements.draining,
                 served.start_time_ms if draining else 0,
+                self._host.slowdown_percent,
             ),
             call.route,
         )
--- a/primroseglade/sidecar/request_handler.py
+++ b/primroseglade/sidecar/request_handler.py
@@ -12,14 +12,17 @@
 from .call_graph import CallGraph
 from .call_ratios import CallRatioEstimator
 from .deadlines import Deadlines
-from .dispatch import Dispatcher, Outcome, OutgoingCall
+from .dispatch import Dispatcher
 from .http_messages import Reply, Request
 from .model import rank_request, Route, Tenant
 from .node_metrics import NodeMetrics
+from .outgoing_call import Outcome, OutgoingCall
 from .policy_tracker import PolicyTracker
 from .quota import Quotas, TokenDecision
+from .request_context import build_context, RequestContext
 from .retry_after import draw_retry_after
 from .retry_budget import RetryBudget
+from .running_calls import RunningCall, RunningCalls
 
 # Minimum Retry-After of a refusal.
 MIN_RETRY_AFTER_SECONDS = 0.05
@@ -42,17 +45,25 @@
         host: Host that the request is for.
         key: API key of the caller; empty if it sent none.
         timeout: Seconds that the caller waits for an answer; None if not given.
+        parent_id: ID of the call that the local backend server makes this one for;
+            empty if the request names none.
     """
 
-    __slots__ = ("host", "key", "request_id", "timeout")
+    __slots__ = ("host", "key", "parent_id", "request_id", "timeout")
 
     def __init__(
-        self, request_id: bytes, host: bytes, key: bytes, timeout: float | None
+        self,
+        request_id: bytes,
+        host: bytes,
+        key: bytes,
+        timeout: float | None,
+        parent_id: bytes = b"",
     ):
         self.request_id = request_id
         self.host = host
         self.key = key
         self.timeout = timeout
+        self.parent_id = parent_id
 
 
 class CallerDialect(Protocol):
@@ -85,6 +96,7 @@
         admission: Refuses requests that depend on overloaded services.
         graph: Provides the calls to each service that a request causes.
         call_ratios: Counts the calls that the backend server makes.
+        running_calls: Finds the call that the backend server makes another for.
         retry_budget: Counts first attempts.
         dispatcher: Sends calls to backend servers.
         deadlines: Cancels calls at their deadline.
@@ -102,6 +114,7 @@
         admission: Admission,
         graph: CallGraph,
         call_ratios: CallRatioEstimator,
+        running_calls: RunningCalls,
         retry_budget: RetryBudget,
         dispatcher: Dispatcher,
         deadlines: Deadlines,
@@ -116,6 +129,7 @@
         self._admission = admission
         self._graph = graph
         self._call_ratios = call_ratios
+        self._running_calls = running_calls
         self._retry_budget = retry_budget
         self._dispatcher = dispatcher
         self._deadlines = deadlines
@@ -203,12 +217,22 @@
         nested = tenant is None and route.public
         now = time.monotonic()
         service = self._policies.routes.choose_service(route)
+        parent: RunningCall | None = None
+        context: RequestContext | None = None
+        calls_left = 0
+        latency_target_at = request.arrived_at + route.target_latency
         if nested:
-            self._call_ratios.record_call(route.name, now)
+            parent = self._running_calls.find(fields.parent_id)
+            if parent is not None:
+                context = parent.context
+                calls_left = self._count_calls_left(parent, route.name)
+            self._call_ratios.record_call(route.name, now, parent is not None)
         else:
             rank = rank_request(route, tenant)
             self._check_admission(route, service, rank, deadline - now, now)
             self._retry_budget.record_first_attempt(service, now)
+            if tenant is not None:
+                context = build_context(rank, tenant, latency_target_at)
         head = self._dialect.render_request(
             request, self._service, tenant.name if tenant is not None else ""
         )
@@ -220,14 +244,29 @@
             request.body,
             nested,
             deadline,
-            request.arrived_at + route.target_latency,
+            latency_target_at,
             tenant.name if tenant is not None else "",
+            context,
+            parent,
+            calls_left,
         )
 
+    def _count_calls_left(self, parent: RunningCall, route: str) -> int:
+        """Return how many calls of a route will follow the next one of a running call.
+
+        Args:
+            parent: The running call.
+            route: Name of the route that it calls.
+        """
+        expected = self._graph.count_direct_calls(parent.route, self._service, route)
+        return max(0, expected - parent.calls.get(route, 0) - 1)
+
     async def _dispatch_call(
         self, call: OutgoingCall, tenant: Tenant | None
     ) -> Outcome:
         """Send a call and return its outcome; cancel it at its deadline."""
+        if call.parent is not None:
+            call.parent.begin_call(call.route.name, time.monotonic())
         tracked_deadline = self._deadlines.start(call.deadline)
         try:
             return await self._dispatcher.dispatch(call)
@@ -246,6 +285,8 @@
             raise
         finally:
             self._deadlines.end(tracked_deadline)
+            if call.parent is not None:
+                call.parent.end_call(time.monotonic())
 
     def _draw_retry_after(self, call: OutgoingCall, refusal: Refusal) -> float:
         now = time.monotonic()
