Do not raise the estimated capacity while backend servers reject calls

Cause: while a service rejects half of its calls, requests fail before they make all of theirs and its slots are idle.

Change: above 1 the factor does not rise while more than a fifth of the calls fail, and falls by 10 % a tick while slots are full.

--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -38,6 +38,13 @@
 # factor fell too far during an overload.
 FAST_RECOVERY_UTILIZATION = 0.7
 FAST_CORRECTION_INCREASE_RATIO = 0.08
+# Relative decrease per update while the factor is above 1 although slots are full: the
+# load has changed since the factor rose.
+EXCESS_CORRECTION_DECREASE_RATIO = 0.1
+# From this fraction of failed calls on, idle slots do not show that more requests could
+# be served: the backend servers reject calls, and requests fail before they make all of
+# theirs. The factor does not rise then.
+MAX_FAILURE_RATIO_FOR_INCREASE = 0.2
 # Bounds of the correction factor.
 MIN_CORRECTION_FACTOR = 0.4
 MAX_CORRECTION_FACTOR = 4.0
@@ -72,6 +79,7 @@
         "_cold_count",
         "_cold_rate",
         "_cold_seconds",
+        "_failed_weight",
         "_limited_count",
         "_limited_rate",
         "_sums",
@@ -88,6 +96,8 @@
         # is known.
         self._sums = [0.0, 0.0]
         self._sums_without_slot_time = [0.0, 0.0]
+        # Sum over backend servers: fraction of failed calls times weight.
+        self._failed_weight = 0.0
         self._warm_count = 0
         # Of backend servers that are cold: their number, calls per second that may
         # start there, and the sum of the seconds for which they stay cold.
@@ -130,6 +140,12 @@
         )
         return weighted_utilization / total_weight if total_weight else 0.0
 
+    @property
+    def failure_ratio(self) -> float:
+        """Fraction of recent calls that failed, over all backend servers."""
+        total_weight = self._sums[1] or self._sums_without_slot_time[1]
+        return min(1.0, self._failed_weight / total_weight) if total_weight else 0.0
+
     def add_cold(self, start_rate: float, cold_seconds: float) -> None:
         """Add a cold backend server.
 
@@ -158,21 +174,29 @@
         slots_rate = slots / slot_ms * 1000 if slot_ms else request_limit
         self._limited_rate += min(request_limit, slots_rate)
 
-    def add(self, in_flight: float, slots: float, slot_ms: float) -> None:
+    def add(
+        self,
+        in_flight: float,
+        slots: float,
+        work_ms: float,
+        failure_ratio: float = 0.0,
+    ) -> None:
         """Add a backend server at which starts are not limited.
 
         Args:
             in_flight: Running and queued calls, except those that wait for calls of
                 their own.
             slots: Calls that the backend server can run concurrently.
-            slot_ms: Average milliseconds for which a call holds a slot; 0 before the
-                first call.
+            work_ms: Average milliseconds for which a call needs a slot, without the
+                time for which it waits for calls of its own; 0 before the first call.
+            failure_ratio: Fraction of recent calls that failed.
         """
         self._warm_count += 1
         self.queued += max(0.0, in_flight - slots)
-        sums = self._sums if slot_ms else self._sums_without_slot_time
-        sums[0] += in_flight / (slot_ms or 1.0)
-        sums[1] += slots / (slot_ms or 1.0)
+        sums = self._sums if work_ms else self._sums_without_slot_time
+        sums[0] += in_flight / (work_ms or 1.0)
+        sums[1] += slots / (work_ms or 1.0)
+        self._failed_weight += failure_ratio * slots / (work_ms or 1.0)
 
 
 class _RankCount:
@@ -289,28 +313,11 @@
 
     def _compute_level(self, service: str, load: ServiceLoad, demand: float) -> float:
         """Update the correction factor and return the admission level of a service."""
-        correction_factor = self._correction_factors.get(service, 1.0)
+        correction_factor = self._correct(service, load)
         utilization = load.utilization
-        if utilization > MAX_TARGET_UTILIZATION:
-            correction_factor *= 1.0 - CORRECTION_DECREASE_RATIO
-        elif utilization < MIN_TARGET_UTILIZATION and (
-            correction_factor < 1.0 or service in self._admission_levels
-        ):
-            correction_factor *= 1.0 + (
-                FAST_CORRECTION_INCREASE_RATIO
-                if utilization < FAST_RECOVERY_UTILIZATION
-                else CORRECTION_INCREASE_RATIO
-            )
-        elif service not in self._admission_levels:
-            correction_factor = min(correction_factor, 1.0)
-        self._correction_factors[service] = min(
-            MAX_CORRECTION_FACTOR, max(MIN_CORRECTION_FACTOR, correction_factor)
-        )
         if not load.capacity or not demand:
             return 1.0
-        target_rate = (
-            self._correction_factors[service] * ADMITTED_CAPACITY_RATIO * load.capacity
-        )
+        target_rate = correction_factor * ADMITTED_CAPACITY_RATIO * load.capacity
         level = (target_rate - load.queued / QUEUE_DRAIN_SECONDS) / demand
         if (
             level > MAX_INITIAL_ADMISSION_LEVEL
@@ -320,6 +327,33 @@
             return 1.0
         return level
 
+    def _correct(self, service: str, load: ServiceLoad) -> float:
+        """Update the correction factor of a service, and return it."""
+        factor = self._correction_factors.get(service, 1.0)
+        utilization = load.utilization
+        is_shedding = service in self._admission_levels
+        if utilization > MAX_TARGET_UTILIZATION:
+            factor *= 1.0 - (
+                EXCESS_CORRECTION_DECREASE_RATIO
+                if factor > 1.0
+                else CORRECTION_DECREASE_RATIO
+            )
+        elif (
+            utilization < MIN_TARGET_UTILIZATION
+            and (factor < 1.0 or is_shedding)
+            and (factor < 1.0 or load.failure_ratio <= MAX_FAILURE_RATIO_FOR_INCREASE)
+        ):
+            factor *= 1.0 + (
+                FAST_CORRECTION_INCREASE_RATIO
+                if utilization < FAST_RECOVERY_UTILIZATION
+                else CORRECTION_INCREASE_RATIO
+            )
+        elif not is_shedding:
+            factor = min(factor, 1.0)
+        factor = min(MAX_CORRECTION_FACTOR, max(MIN_CORRECTION_FACTOR, factor))
+        self._correction_factors[service] = factor
+        return factor
+
     def admits(self, expected_calls: Mapping[str, float], rank: int) -> bool:
         """Return whether a request is admitted.
 
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -53,7 +53,8 @@
                     state.request_limit, state.in_flight, state.slots, state.slot_ms
                 )
             else:
-                load.add(state.in_flight, state.slots, state.slot_ms)
+                working = max(0.0, state.in_flight - state.blocked)
+                load.add(working, state.slots, state.slot_ms, state.failure_ratio)
             self.record_cost(
                 service, peer.entry.zone, estimate_penalty_ms(build_candidate(peer))
             )
--- a/primroseglade/sidecar/load_monitor.py
+++ b/primroseglade/sidecar/load_monitor.py
@@ -98,7 +98,8 @@
                     backend.slot_ms,
                 )
             else:
-                load.add(self.average_in_flight, backend.slots, backend.slot_ms)
+                working = max(0.0, self.average_in_flight - self.blocked)
+                load.add(working, backend.slots, backend.slot_ms, backend.failure_ratio)
             cost_ms = estimate_penalty_ms(local_candidate)
             survey.record_cost(backend.service, self._fleet.zone, cost_ms)
         for service, calls in self._admission.measure_demand(now).items():
--- a/tests/test_admission_levels.py
+++ b/tests/test_admission_levels.py
@@ -223,6 +223,58 @@
     )
 
 
+def test_rejected_calls_do_not_raise_the_level_for_later():
+    """Guards against failures for ten seconds after a service has stopped to reject
+    half of its calls. While it does, requests fail early and its slots are idle, so
+    that the capacity seemed to be underestimated by a factor of two.
+    """
+    admission = Admission(random.Random(1))
+    slots, work_ms, capacity = 300.0, 40.0, 300.0 / 0.04
+    expected_calls = {"front": 1.0, "deep": 8.0}
+
+    def step(number: int, utilization: float, failure_ratio: float) -> float:
+        now = number * TICK_SECONDS
+        # Twice as many requests as the service can serve.
+        for _ in range(int(2 * capacity / 8 * TICK_SECONDS)):
+            admission.record_demand(expected_calls, NORMAL, now)
+        load = ServiceLoad()
+        load.add(utilization * slots, slots, work_ms, failure_ratio)
+        admission.update({"deep": load}, admission.measure_demand(now), now)
+        return admission.admission_levels.get("deep", 1.0)
+
+    for number in range(10):
+        level = step(number, 1.2, 0.0)
+    for number in range(10, 44):
+        level = step(number, 0.3, 0.55)
+    assert level < 0.55
+    for number in range(44, 48):
+        level = step(number, 1.6, 0.1)
+    assert level < 0.5
+
+
+def test_a_raised_level_falls_soon_when_slots_are_full():
+    """Guards against admitting too much after an estimate was corrected upwards: the
+    correction rose in two seconds and took twenty to fall.
+    """
+    admission = Admission(random.Random(1))
+    expected_calls = {"front": 1.0, "deep": 8.0}
+
+    def step(number: int, utilization: float) -> float:
+        now = number * TICK_SECONDS
+        for _ in range(200):
+            admission.record_demand(expected_calls, NORMAL, now)
+        load = build_load(utilization * 100, 100, 62.5)
+        admission.update({"deep": load}, admission.measure_demand(now), now)
+        return admission.admission_levels.get("deep", 1.0)
+
+    for number in range(20):
+        raised_level = step(number, 0.5)
+    assert raised_level > 0.5
+    for number in range(20, 20 + int(3.0 / TICK_SECONDS)):
+        level = step(number, 1.6)
+    assert level < 0.3
+
+
 def test_one_slow_backend_server_of_three_does_not_overload_the_service():
     """Guards against refusals because of the queue of a single backend server. One of
     three is twelve times slower than the others and has a queue, but the two others
