Admit a part of every rank while a service is overloaded

Change: no rank is admitted to less than 0.35 of the average over all requests, for at most half of the calls that are admitted. Callers count a kind as starved at a quarter.

--- a/primroseglade/sidecar/admission_order.py
+++ b/primroseglade/sidecar/admission_order.py
@@ -2,7 +2,8 @@
 
 More urgent ranks come first. But a rank whose requests make far fewer calls to the
 service than those of a more urgent rank is admitted together with that: refusing many
-of its requests would make room for only a few of the others.
+of its requests would make room for only a few of the others. And no rank is refused
+nearly whole while others are served: each gets a part of the average.
 """
 
 from collections.abc import Iterable
@@ -12,6 +13,13 @@
 # Weight of a priority relative to the next less urgent one. A rank is admitted together
 # with the next more urgent one if its requests make less than half as many calls.
 PRIORITY_WEIGHT_RATIO = 2.0
+# Minimum admitted fraction of a rank, relative to the average over all requests.
+# Callers count a kind of request as starved below a quarter; some of those that are
+# admitted fail later.
+MIN_AVERAGE_RATIO = 0.35
+# Part of the admitted calls that these minimum fractions may use. The rest goes by
+# urgency alone.
+MAX_FLOOR_CALL_RATIO = 0.5
 
 
 class RankDemand:
@@ -64,7 +72,8 @@
 ) -> dict[int, float]:
     """Return the admitted fraction of each rank.
 
-    No rank is admitted to a greater part than a more urgent one.
+    No rank is admitted to a greater part than a more urgent one, and none to less than
+    `MIN_AVERAGE_RATIO` of the average.
 
     Args:
         demands: Demand of each rank, in any order.
@@ -73,10 +82,55 @@
     >>> def admit(calls, *ranks):
     ...     demands = [RankDemand(*rank) for rank in ranks]
     ...     return compute_admitted_fractions(demands, calls)
+    >>> admit(200.0, (0, 10, 80.0), (1, 10, 80.0))
+    {0: 1.0, 1: 1.0}
     >>> admit(100.0, (0, 10, 80.0), (1, 10, 80.0))
     {0: 1.0, 1: 0.25}
+    >>> admit(80.0, (0, 10, 80.0), (1, 10, 80.0))
+    {0: 0.825, 1: 0.175}
     >>> admit(45.0, (0, 10, 80.0), (1, 10, 10.0), (2, 10, 80.0))
-    {0: 0.5, 1: 0.5, 2: 0.0}
+    {0: 0.3963, 1: 0.3963, 2: 0.1167}
+    """
+    demands = list(demands)
+    fractions = _admit_by_urgency(demands, admitted_calls, 0.0)
+    floor = _compute_floor(demands, fractions, admitted_calls)
+    if any(fraction < floor for fraction in fractions.values()):
+        fractions = _admit_by_urgency(demands, admitted_calls, floor)
+    return {rank: round(fraction, 4) for rank, fraction in fractions.items()}
+
+
+def _compute_floor(
+    demands: list[RankDemand], fractions: dict[int, float], admitted_calls: float
+) -> float:
+    """Return the least fraction of any rank that is admitted.
+
+    Args:
+        demands: Demand of each rank.
+        fractions: What is admitted of each rank by urgency alone.
+        admitted_calls: Calls to the service that may be admitted.
+    """
+    total_requests = sum(demand.requests for demand in demands)
+    total_calls = sum(demand.calls for demand in demands)
+    if not total_requests or not total_calls:
+        return 0.0
+    admitted_requests = sum(
+        fractions[demand.rank] * demand.requests for demand in demands
+    )
+    average = admitted_requests / total_requests
+    return min(
+        MIN_AVERAGE_RATIO * average, MAX_FLOOR_CALL_RATIO * admitted_calls / total_calls
+    )
+
+
+def _admit_by_urgency(
+    demands: list[RankDemand], admitted_calls: float, floor: float
+) -> dict[int, float]:
+    """Return the admitted fraction of each rank, at least ``floor``.
+
+    Args:
+        demands: Demand of each rank.
+        admitted_calls: Calls to the service that may be admitted.
+        floor: Fraction of every rank that is admitted before the rest goes by urgency.
     """
     pools: list[_Pool] = []
     for demand in sorted(demands, key=lambda item: item.rank):
@@ -86,9 +140,12 @@
             previous.merge(pool)
             pool = previous
         pools.append(pool)
-    admitted_fractions: dict[int, float] = {}
+    rest_calls = admitted_calls - floor * sum(pool.calls for pool in pools)
+    fractions: dict[int, float] = {}
     for pool in pools:
-        fraction = min(1.0, admitted_calls / pool.calls) if pool.calls else 1.0
-        admitted_fractions.update(dict.fromkeys(pool.ranks, fraction))
-        admitted_calls = max(0.0, admitted_calls - pool.calls)
-    return admitted_fractions
+        calls = (1.0 - floor) * pool.calls
+        admitted_part = min(1.0, rest_calls / calls) if calls else 1.0
+        fraction = floor + (1.0 - floor) * admitted_part
+        fractions.update(dict.fromkeys(pool.ranks, fraction))
+        rest_calls = max(0.0, rest_calls - calls)
+    return fractions
