Broadcast call ratios of new routes at once

Cause: call ratios went out every two seconds and into the graph every second.

Change: ratios of routes that were not sent before go with the next state, and the graph is rebuilt when a node reports a route for the first time.

Result: a test that fails on the code before (no ratios until two seconds have passed).

--- a/primroseglade/sidecar/load_monitor.py
+++ b/primroseglade/sidecar/load_monitor.py
@@ -11,8 +11,8 @@
 from .running_calls import RunningCalls
 from .zone_costs import ZoneCosts
 
-# Interval between rebuilds of the call graph. Shorter intervals would gain nothing: the
-# call ratios that it is built from are broadcast less often.
+# Interval between rebuilds of the call graph. The call ratios that it is built from are
+# broadcast less often, except those of routes that have none yet.
 GRAPH_REBUILD_SECONDS = 1.0
 # Interval between log lines of the admission levels, which are updated more often. They
 # are logged while any level is below 1, and once more when all are back at 1.
@@ -62,6 +62,7 @@
         self._shedding_at_last_log = False
         self._admission_logged_at = 0.0
         self._graph_built_at = 0.0
+        self._graph_route_count = 0
         #: Average number of calls in flight at the local backend server between the
         #: last two ticks of the periodic scheduler.
         self.average_in_flight = 0.0
@@ -74,8 +75,13 @@
         self._admission.update(survey.loads, survey.demand, now)
         self._log_admission_levels(survey, now)
         self._zone_costs.refresh(survey.min_costs_ms)
-        if now - self._graph_built_at > GRAPH_REBUILD_SECONDS:
+        route_count = self._count_reported_routes()
+        if (
+            now - self._graph_built_at > GRAPH_REBUILD_SECONDS
+            or route_count > self._graph_route_count
+        ):
             self._graph_built_at = now
+            self._graph_route_count = route_count
             self._rebuild_graph(now)
 
     def _survey(self, now: float) -> Survey:
@@ -127,6 +133,10 @@
             calls=self._graph.get_expected_calls("", self._backend.service),
         )
 
+    def _count_reported_routes(self) -> int:
+        """Return for how many routes nodes report call ratios, over all nodes."""
+        return sum(len(peer.state.downstream_calls or ()) for peer in self._fleet)
+
     def _rebuild_graph(self, now: float) -> None:
         reported_ratios = [
             (peer.entry.service, peer.state.downstream_calls)
--- a/primroseglade/sidecar/state_broadcast.py
+++ b/primroseglade/sidecar/state_broadcast.py
@@ -22,7 +22,8 @@
 # and the additional messages cost little processor time.
 MAX_DIRECT_NODES = 24
 # Interval at which the state includes the call ratios (``NodeState.downstream_calls``).
-# They change rarely, mostly with the configuration.
+# They change rarely, mostly with the configuration. Ratios of routes that were not sent
+# before are included at once: until nodes know them they cannot shed load.
 CALL_RATIOS_INTERVAL_SECONDS = 2.0
 
 
@@ -83,6 +84,7 @@
         # this node's earlier processes.
         self._sequence = entry.start_time_ms
         self._call_ratios_sent_at = 0.0
+        self._sent_routes: frozenset[str] = frozenset()
 
     def build_full_state(self) -> NodeState:
         """Return the full state, with call ratios, for a node that just connected."""
@@ -132,7 +134,12 @@
         self._sequence += 1
         state = self._build_load_state()
         state.sequence = self._sequence
-        if now - self._call_ratios_sent_at > CALL_RATIOS_INTERVAL_SECONDS:
+        ratios = self._call_ratios.get_ratios(now)
+        if (
+            now - self._call_ratios_sent_at > CALL_RATIOS_INTERVAL_SECONDS
+            or not ratios.keys() <= self._sent_routes
+        ):
             self._call_ratios_sent_at = now
-            state.downstream_calls = self._call_ratios.get_ratios(now)
+            self._sent_routes = frozenset(ratios)
+            state.downstream_calls = ratios
         return state
--- a/tests/test_state_broadcast.py
+++ b/tests/test_state_broadcast.py
@@ -1,5 +1,7 @@
 """Broadcast and relay of node states."""
 
+import time
+
 from primroseglade.sidecar.call_ratios import CallRatioEstimator
 from primroseglade.sidecar.frames import Frame, State, States
 from primroseglade.sidecar.model import NodeEntry, NodeState
@@ -118,3 +120,23 @@
     frames = [State(NodeState("i-1", 5), relay=True), States([("n", NodeState())])]
     data = b"".join(encode_frame(frame) for frame in frames)
     assert FrameReader().feed(data) == frames
+
+
+def test_call_ratios_of_new_routes_are_sent_at_once():
+    """Guards against three seconds without load shedding after a restart of all nodes:
+    until the call ratios are known, requests are admitted that the services they need
+    cannot serve.
+    """
+    broadcaster, server = build_broadcaster(MAX_DIRECT_NODES)
+    ratios = broadcaster._call_ratios
+    now = time.monotonic()
+    broadcaster.broadcast(now)
+    for _ in range(10):
+        ratios.record_call("look-up", now, attributed=True)
+        ratios.record_end("index", now, now, True, {"look-up": 4})
+    for _ in range(2):
+        broadcaster.broadcast(now)
+    states = [frame.state for name, frame in server.sent if name == "a-00"]
+    sent = [state.downstream_calls for state in states]
+    assert sent[-2]["index"] == {"look-up": 4.0}
+    assert sent[-1] is None
