Share a backend server's throughput between workspaces while calls wait

Cause: nothing shared room between workspaces of the same urgency: with some at several times their usual, a few took most slots of the scarce service.

Change: while calls wait at a backend server, a workspace has a share of its throughput in proportion to its rate limit. A call is delayed in the queue's order by the time that its workspace is ahead of its share, by half a second at most (`workspace_shares.py`). There is no delay while the queue is empty: unused shares are lent.

Weighed: fair queueing by virtual finish times (ignores latency targets), shares at admission (each node would have to know the demand of 74 workspaces at all others).

Result: both new tests fail without the change (the crowd starts first).

--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -16,6 +16,7 @@
 from .queue_statistics import QueueStatistics
 from .request_context import RequestContext
 from .start_limit import StartLimit
+from .workspace_shares import WorkspaceShares
 
 # Concurrency limit, as a fraction of the backend server's slots. A backend server slows
 # down when nearly all of its slots are taken: using the last ones reduces throughput.
@@ -88,6 +89,7 @@
         self._reclaimed_slots: set[int] = set()
         self._has_measurement = False
         self.statistics = QueueStatistics()
+        self._shares = WorkspaceShares()
         # Integral of the calls in flight over time, since the start of the average.
         self._in_flight_integral = 0.0
         self._integrated_until = 0.0
@@ -192,6 +194,13 @@
         ):
             return self._take_slot(now)
         sort_time = compute_sort_time(now, latency_target, context, calls_left)
+        if context is not None:
+            sort_time += self._shares.add_call(
+                context.workspace,
+                context.weight,
+                self._service_seconds / self._concurrency_limit,
+                now,
+            )
         calls_ahead = self._count_ahead(sort_time)
         max_response_seconds = remaining
         if nested:
--- a/primroseglade/sidecar/queue_order.py
+++ b/primroseglade/sidecar/queue_order.py
@@ -3,8 +3,9 @@
 Each call gets a sort time, and the earliest starts first. The sort time is the arrival
 time plus delays for what can wait: a latency target that is further away, a request
 that is less urgent, a request that needs more calls after this one, and one that is
-late already. A call is overtaken only by calls that arrive within these delays after
-it, so that none waits for ever while more urgent ones arrive.
+late already. Workspaces that take more than their shares are delayed, too
+(`workspace_shares.py`). A call is overtaken only by calls that arrive within these
+delays after it, so that none waits for ever while more urgent ones arrive.
 """
 
 from .model import LOWEST_PRIORITY
--- a/tests/test_queue_order.py
+++ b/tests/test_queue_order.py
@@ -8,6 +8,7 @@
 from primroseglade.sidecar.backend_queue import BackendQueue
 from primroseglade.sidecar.queue_order import compute_sort_time
 from primroseglade.sidecar.request_context import RequestContext
+from primroseglade.sidecar.workspace_shares import WorkspaceShares
 from primroseglade.verdicts import Refusal
 
 CLAIM_RANK, HISTORY_RANK = 0, 1
@@ -136,6 +137,40 @@
     assert sort_time < compute_sort_time(15.0, 0.0, urgent)
 
 
+async def test_a_crowd_of_one_workspace_does_not_displace_the_others():
+    """Guards against a workspace at six times its usual that takes all slots of the
+    scarce service: the calls of five others start before most of its 25, which arrived
+    earlier.
+    """
+    queue = BackendQueue(2)
+    slots = await fill(queue)
+    order: list[str] = []
+    tasks = []
+    for workspace in [1] * 25 + [2, 3, 4, 5, 6]:
+        name = "crowd" if workspace == 1 else "other"
+        context = build_context(HISTORY_RANK, 1.0, workspace)
+        tasks.append(await enqueue(queue, order, name, context, 5.0))
+    for slot in slots:
+        queue.release(slot, 0.01)
+    await asyncio.gather(*tasks)
+    assert order[:10].count("other") == 5
+
+
+def test_shares_that_others_do_not_use_are_lent():
+    """A workspace alone is not delayed, and one of two within its share neither."""
+    shares = WorkspaceShares()
+    delays = [shares.add_call(1, 5.0, 0.01, 0.02 * n) for n in range(50)]
+    assert max(delays) == 0.0
+    shares = WorkspaceShares()
+    for number in range(100):
+        now = 0.02 * number
+        shares.add_call(1, 1.0, 0.01, now)
+        shares.add_call(1, 1.0, 0.01, now)
+        delay = shares.add_call(2, 1.0, 0.01, now)
+    assert delay == pytest.approx(0.0, abs=0.011)
+    assert shares.add_call(1, 1.0, 0.01, now) > 0.3
+
+
 async def test_a_call_of_an_unknown_request_is_not_put_last():
     """Guards against starving calls that older nodes send, without a context."""
     queue = BackendQueue(2)
