Soak: shared machines that state their pace, skewed workspaces, swinging demand

Cause: the soak knew none of the load that the new decisions answer.

Change: its backend servers are slowed 2.5 times for 0.6 s at a time and state it, with one answer in fifty stating a load that cannot be true; eight in ten requests are of one key; demand swings from machine to machine.

--- a/primroseglade/stand_ins/mesh_backend.py
+++ b/primroseglade/stand_ins/mesh_backend.py
@@ -34,6 +34,7 @@
         request_limit: Limit on requests per second that its answers state; empty for
             none.
         leaving: How its answers state that it leaves; empty if they do not.
+        load: Load that its answers state; empty for none.
         health_checks: Number of health checks.
         cancelled: Number of requests that were cancelled while they ran.
         seen_headers: Headers of all requests, also of those refused as misdirected.
@@ -63,6 +64,7 @@
         self.executed_at: list[float] = []
         self.request_limit = ""
         self.leaving = ""
+        self.load = ""
         self.health_checks = 0
         self.cancelled = 0
         self.seen_headers: list[dict[str, str]] = []
@@ -177,6 +179,7 @@
         statements = {
             "Server-Limit": self.request_limit,
             "Server-Leaving": self.leaving,
+            "X-Primroseglade-Upstream-Load": self.load,
         }
         return b"".join(
             f"{name}: {value}\r\n".encode()
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -19,6 +19,13 @@
 # Names the instance in answers, for the checks.
 INSTANCE_HEADER = "X-Soak-Instance"
 PROCESSING_SECONDS_RANGE = (0.005, 0.06)
+# The machine is shared: for spells of this length, work takes longer in some of them.
+SPELL_SECONDS = 0.6
+SLOW_SPELL_RATIO = 0.15
+SLOWDOWN = 2.5
+# Fraction of answers that state a load that cannot be true.
+INVALID_LOAD_RATIO = 0.02
+INVALID_LOADS = ("-1,0,8", "3,0,0,100", "1,2,3,4,5", "99999999999,0,8", "3,0,8,x")
 # The backend server serves for this long after it has reported its drain.
 LINGER_SECONDS = 2.5
 
@@ -42,11 +49,23 @@
                 tenant=headers.get("x-primroseglade-tenant", ""),
                 key_seen="authorization" in headers,
             )
-        self.processing_seconds = random.uniform(*PROCESSING_SECONDS_RANGE)
+        slowdown = self._get_slowdown()
+        self.processing_seconds = random.uniform(*PROCESSING_SECONDS_RANGE) * slowdown
+        self.load = (
+            random.choice(INVALID_LOADS)
+            if random.random() < INVALID_LOAD_RATIO
+            else f"0,0,{self.slots},{slowdown * 100:.0f}"
+        )
         reply = await super()._handle(request)
         head = reply.head + f"{INSTANCE_HEADER}: {self.instance}\r\n".encode()
         return Reply(head, f"{request_id} {'x' * 2000} end".encode())
 
+    def _get_slowdown(self) -> float:
+        """Return how long work takes in the current spell, by its number."""
+        spell = int(time.monotonic() / SPELL_SECONDS)
+        slow = random.Random(f"{self.instance} {spell}").random() < SLOW_SPELL_RATIO
+        return SLOWDOWN if slow else 1.0
+
     def state_limit(self, limit: float) -> None:
         """State a limit on requests from now on; 0 for none."""
         self.request_limit = f"{limit:g}" if limit else ""
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import pathlib
 import random
 import time
@@ -34,6 +35,10 @@
 STATED_LIMIT_SECONDS = 5.0
 STATED_DRAIN_SECONDS = 3.0
 TENANTS_BY_KEY = {"key-a": "north", "key-b": "north", "key-c": "south"}
+# Most requests are of one key, and demand swings from machine to machine.
+KEY_WEIGHTS = (8, 1, 1)
+SWING_RATIO = 0.6
+SWING_PERIOD_SECONDS = 7.0
 KINDS_BY_ROUTE = {"front": "safe", "deep": "safe", "once": "unsafe"}
 
 
@@ -128,12 +133,13 @@
         """Send requests one after the other over pooled connections until cancelled."""
         pool = ConnectionPool(machine.address(OUTBOUND_PORT), 1.0)
         while True:
-            await asyncio.sleep(
-                MEAN_CALLER_PAUSE_SECONDS * self._random.uniform(0.5, 1.5)
-            )
+            phase = time.monotonic() / SWING_PERIOD_SECONDS + machine.number / 3
+            swing = 1.0 + SWING_RATIO * math.sin(2 * math.pi * phase)
+            pause = MEAN_CALLER_PAUSE_SECONDS * swing
+            await asyncio.sleep(pause * self._random.uniform(0.5, 1.5))
             self._last_request_number += 1
             route = self._random.choice(list(KINDS_BY_ROUTE))
-            key = self._random.choice(list(TENANTS_BY_KEY))
+            (key,) = self._random.choices(list(TENANTS_BY_KEY), KEY_WEIGHTS)
             idempotent = KINDS_BY_ROUTE[route] == "safe"
             request = SentRequest(
                 f"r{self._last_request_number}",
