--- a/primroseglade/observe/explain.py
+++ b/primroseglade/observe/explain.py
@@ -322,9 +322,33 @@
 ) -> Cause:
     text = (
         f"The backend server beside {last.get('node')} answered "
-        f"{last.get('status')}, and that was returned to the caller"
+        f"{last.get('status')}, and that was returned to the caller after "
+        f"{last.get('seconds')} s"
     )
-    return [], f"{text} after {last.get('seconds')} s."
+    failed_calls = _find_failed_calls(str(last.get("request")), lines)
+    if failed_calls:
+        first = failed_calls[0]
+        text += (
+            f". Of the calls made for it, {len(failed_calls)} failed; the first, "
+            f"{first.get('request')}, at {first.instance}: "
+            f"{first.get('reason') or first.get('status')} {first.get('detail')}"
+        )
+    return failed_calls, f"{text.rstrip()}."
+
+
+def _find_failed_calls(request_id: str, lines: list[LogLine]) -> list[LogLine]:
+    """Return the outcomes of failed calls that backend servers made for a request.
+
+    The ID of such a call begins with that of the request and a dot. The call that
+    failed itself comes before those that failed because of it: its ID is longer.
+    """
+    failed = [
+        line
+        for line in lines
+        if line.number in (CALL_REFUSED.number, CALL_ANSWERED.number)
+        and str(line.get("request")).startswith(f"{request_id}.")
+    ]
+    return sorted(failed, key=lambda line: (-len(str(line.get("request"))), line.time))
 
 
 def _explain_other(last: LogLine, nearby: list[LogLine], lines: list[LogLine]) -> Cause:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -171,3 +171,52 @@
     status, _, error = run("r1", str(tmp_path / "missing"))
     assert status is ExitStatus.FAILURE
     assert error.count("\n") == 1
+
+
+def test_failure_of_a_call_made_for_the_request_is_named(tmp_path):
+    """Guards against an explanation that ends at the backend server's own failure: it
+    failed because a look-up that it made was refused two services further down.
+    """
+    answered = {
+        "time": 100.0,
+        "event": 504,
+        "level": "info",
+        "text": "call answered with a failure",
+        "instance": "node-1",
+        "request": "r1",
+        "status": 500,
+        "node": "node-2",
+        "seconds": 0.2,
+    }
+    log = write_log(
+        tmp_path / "a",
+        answered,
+        answered | {"request": "r1.7", "instance": "node-2", "node": "node-3"},
+        build_refused_line(
+            "overloaded", request="r1.7.9", instance="node-3", detail="queue is full"
+        ),
+        build_refused_line("overloaded", request="r12.7", instance="node-4"),
+    )
+    status, output, _ = run("r1", log)
+    assert status == ExitStatus.SUCCESS
+    assert "2 failed; the first, r1.7.9, at node-3: overloaded queue is full" in output
+    assert "node-4" not in output
+
+
+def test_refusal_by_a_queue_names_the_nodes_where_calls_waited(tmp_path):
+    """A request that was admitted and met a long queue is told apart from one that was
+    refused at its entry.
+    """
+    waited = {
+        "time": 100.4,
+        "event": 508,
+        "level": "info",
+        "text": "calls waited at the backend server",
+        "instance": "node-7",
+        "levels": {"1": {"started": 40, "refused": 3, "longest_wait": 0.31}},
+    }
+    refused = build_refused_line("overloaded", detail="queue is full: 90 calls")
+    status, output, _ = run("r1", write_log(tmp_path / "a", refused, waited))
+    assert status == ExitStatus.SUCCESS
+    assert "refused by the queue of a backend server: queue is full" in output
+    assert "beside node-7" in output
