--- a/primroseglade/sidecar/load_monitor.py
+++ b/primroseglade/sidecar/load_monitor.py
@@ -105,7 +105,7 @@
                 )
             else:
                 working = max(0.0, self.average_in_flight - self.blocked)
-                load.add(working, backend.slots, backend.slot_ms, backend.failure_ratio)
+                load.add(working, backend.slots, backend.slot_ms)
             cost_ms = estimate_penalty_ms(local_candidate)
             survey.record_cost(backend.service, self._fleet.zone, cost_ms)
         for service, calls in self._admission.measure_demand(now).items():
