--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from primroseglade.observe.events import TASK_FAILED
 from primroseglade.sidecar.http_client import ConnectionPool
 from primroseglade.sidecar.http_messages import render_status_line, Reply, Request
 
@@ -44,6 +45,17 @@
     assert "authorization" not in seen
 
 
+async def test_no_periodic_task_fails(mesh: Mesh):
+    """Guards against a duty that ends with an error at each tick: the node goes on, but
+    sheds no load and tells others nothing.
+    """
+    await send_request(mesh.instances[0], "/deep/a")
+    await asyncio.sleep(1.2)
+    for instance in mesh.instances:
+        events = [entry["event"] for entry in instance.node._journal.recent]
+        assert TASK_FAILED.number not in events
+
+
 async def test_requests_that_are_not_allowed_do_not_run(mesh: Mesh):
     """Unknown keys and paths get different statuses; public routes need no key."""
     front = mesh.instances[0]
