Word the new modules as a newcomer read them

Cause: a reader who had not seen the change listed names and comments that had to be read twice or were untrue (an unknown request was not the most urgent; refused calls count in the shares; a full queue counts as a refusal, too).

Change: wording, renames within new code (remaining_calls, decay_slowdown and others), one function split. No behaviour changes; the frame's field keeps its position.

Result: tests of the touched modules pass.

--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -347,9 +347,9 @@
     508,
     "info",
     "calls waited at the backend server",
-    "Calls that found no free slot in the last second, by urgency level (0 the most "
-    "urgent): started, refused, and the longest wait in seconds. `blocked` calls hold "
-    "slots while they wait for calls of their own.",
+    "Calls that could not start at once in the last second, by urgency level (0 the "
+    "most urgent): started, refused, and the longest wait in seconds. `blocked` calls "
+    "hold slots while they wait for calls of their own.",
 )
 LINES_DROPPED = _define(
     590,
--- a/primroseglade/platform/backend_statements.py
+++ b/primroseglade/platform/backend_statements.py
@@ -28,6 +28,7 @@
     f"slots), the last above 0, and optionally a percentage from "
     f"{MIN_WORK_TIME_PERCENT} to {MAX_WORK_TIME_PERCENT}"
 )
+# At most as many digits as `MAX_STATED_REQUESTS`.
 WHOLE_NUMBER = re.compile(rb"\d{1,7}")
 # Longer values are cut off in log lines.
 MAX_LOGGED_CHARACTERS = 40
@@ -70,20 +71,24 @@
 
 def _read_load(values: Sequence[bytes], errors: list[str]) -> StatedLoad | None:
     """Return the stated load, or None if it is invalid."""
-    figures = _split_values(values)
-    if (
-        len(figures) not in (3, 4)
-        or not all(WHOLE_NUMBER.fullmatch(figure) for figure in figures)
-        or not all(int(figure) <= MAX_STATED_REQUESTS for figure in figures)
-    ):
-        errors.append(f"load {_quote(figures)}: {EXPECTED_LOAD}")
+    parts = _split_values(values)
+    load = _parse_load(parts)
+    if load is None:
+        errors.append(f"load {_quote(parts)}: {EXPECTED_LOAD}")
+    return load
+
+
+def _parse_load(parts: list[bytes]) -> StatedLoad | None:
+    """Return the load that three or four figures state, or None if one is invalid."""
+    if len(parts) not in (3, 4) or not all(map(WHOLE_NUMBER.fullmatch, parts)):
+        return None
+    running, waiting, slots, *percentages = map(int, parts)
+    if max(running, waiting, slots) > MAX_STATED_REQUESTS or not slots:
         return None
-    running, waiting, slots, *percentages = map(int, figures)
-    if not slots or not all(
+    if not all(
         MIN_WORK_TIME_PERCENT <= percentage <= MAX_WORK_TIME_PERCENT
         for percentage in percentages
     ):
-        errors.append(f"load {_quote(figures)}: {EXPECTED_LOAD}")
         return None
     work_time_ratio = percentages[0] / 100 if percentages else None
     return StatedLoad(running, waiting, slots, work_time_ratio)
--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -38,9 +38,9 @@
 # factor fell too far during an overload.
 FAST_RECOVERY_UTILIZATION = 0.7
 FAST_CORRECTION_INCREASE_RATIO = 0.08
-# Relative decrease per update while the factor is above 1 although slots are full. It
-# rises while backend servers reject calls, as requests fail before they make all of
-# theirs, and must not stay high when that is over.
+# Relative decrease per update while slots are full and the factor is above 1. While
+# backend servers reject calls, requests fail before they make all of their calls, and
+# the factor rises. It has to return quickly when the rejections end.
 EXCESS_CORRECTION_DECREASE_RATIO = 0.1
 # Bounds of the correction factor.
 MIN_CORRECTION_FACTOR = 0.4
@@ -68,8 +68,8 @@
     while the other four are half idle.
 
     Calls that wait for calls of their own are left out, and so is the time for which
-    they wait. Else services that call an overloaded one would count as overloaded, too,
-    and refuse requests that need nothing of it.
+    they wait. Otherwise services that call an overloaded one would count as overloaded
+    too, and refuse requests that do not depend on it.
     """
 
     __slots__ = (
@@ -154,8 +154,8 @@
             request_limit: Requests per second that it takes.
             in_flight: Running and queued calls.
             slots: Calls that it can run concurrently.
-            slot_ms: Average milliseconds for which a call holds a slot; 0 before the
-                first call.
+            slot_ms: Average milliseconds for which a call needs a slot, without the
+                time for which it waits for calls of its own; 0 before the first call.
         """
         self._limited_count += 1
         self.queued += max(0.0, in_flight - slots)
@@ -293,7 +293,7 @@
 
     def _compute_level(self, service: str, load: ServiceLoad, demand: float) -> float:
         """Update the correction factor and return the admission level of a service."""
-        correction_factor = self._correct(service, load)
+        correction_factor = self._update_correction_factor(service, load)
         utilization = load.utilization
         if not load.capacity or not demand:
             return 1.0
@@ -307,7 +307,7 @@
             return 1.0
         return level
 
-    def _correct(self, service: str, load: ServiceLoad) -> float:
+    def _update_correction_factor(self, service: str, load: ServiceLoad) -> float:
         """Update the correction factor of a service, and return it."""
         factor = self._correction_factors.get(service, 1.0)
         utilization = load.utilization
--- a/primroseglade/sidecar/admission_order.py
+++ b/primroseglade/sidecar/admission_order.py
@@ -2,8 +2,9 @@
 
 More urgent ranks come first. But a rank whose requests make far fewer calls to the
 service than those of a more urgent rank is admitted together with that: refusing many
-of its requests would make room for only a few of the others. And no rank is refused
-nearly whole while others are served: each gets a part of the average.
+of its requests would make room for only a few of the others. Each rank is admitted at
+least to a part of the average admitted fraction, so that none is refused almost
+entirely.
 """
 
 from collections.abc import Iterable
@@ -73,7 +74,8 @@
     """Return the admitted fraction of each rank.
 
     No rank is admitted to a greater part than a more urgent one, and none to less than
-    `MIN_AVERAGE_RATIO` of the average.
+    `MIN_AVERAGE_RATIO` of the average, unless that needs more than
+    `MAX_FLOOR_CALL_RATIO` of the admitted calls.
 
     Args:
         demands: Demand of each rank, in any order.
@@ -140,12 +142,12 @@
             previous.merge(pool)
             pool = previous
         pools.append(pool)
-    rest_calls = admitted_calls - floor * sum(pool.calls for pool in pools)
+    remaining_calls = admitted_calls - floor * sum(pool.calls for pool in pools)
     fractions: dict[int, float] = {}
     for pool in pools:
         calls = (1.0 - floor) * pool.calls
-        admitted_part = min(1.0, rest_calls / calls) if calls else 1.0
+        admitted_part = min(1.0, remaining_calls / calls) if calls else 1.0
         fraction = floor + (1.0 - floor) * admitted_part
         fractions.update(dict.fromkeys(pool.ranks, fraction))
-        rest_calls = max(0.0, rest_calls - calls)
+        remaining_calls = max(0.0, remaining_calls - calls)
     return fractions
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -370,7 +370,7 @@
             remaining,
             call.nested,
             context,
-            call.calls_left,
+            call.remaining_calls,
         )
         started = time.monotonic()
         completed = succeeded = False
--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -12,7 +12,7 @@
 from collections.abc import Sequence
 
 from ..verdicts import not_run, Reason, Refusal
-from .queue_order import compute_sort_time, get_level
+from .queue_order import compute_sort_time, get_urgency_level
 from .queue_statistics import QueueStatistics
 from .request_context import RequestContext
 from .start_limit import StartLimit
@@ -45,8 +45,10 @@
 MAX_NESTED_RESPONSE_SERVICE_TIMES = 2.0
 
 
-# Number of queued calls that are compared with a new one.
+# Maximum number of queued calls that are sampled to estimate how many precede a new
+# one, and number of queued calls up to which all are compared.
 MAX_SAMPLED_CALLS = 64
+MAX_COMPARED_CALLS = 15
 
 
 class BackendQueue:
@@ -170,7 +172,7 @@
         remaining: float,
         nested: bool,
         context: RequestContext | None = None,
-        calls_left: int = 0,
+        remaining_calls: int = 0,
     ) -> int:
         """Wait for a slot and return its ID.
 
@@ -179,7 +181,8 @@
             remaining: Seconds until the call's deadline.
             nested: Whether another backend server makes the call.
             context: The request that the call belongs to; None if unknown.
-            calls_left: Number of calls that will follow this one in the same run.
+            remaining_calls: Expected number of further calls on the same route in the
+                same run of a backend server.
 
         Raises:
             Refusal: The queue is full, or the call cannot meet its deadline; the
@@ -193,7 +196,7 @@
             and not self._get_start_delay()
         ):
             return self._take_slot(now)
-        sort_time = compute_sort_time(now, latency_target, context, calls_left)
+        sort_time = compute_sort_time(now, latency_target, context, remaining_calls)
         if context is not None:
             sort_time += self._shares.add_call(
                 context.workspace,
@@ -209,7 +212,7 @@
                 MAX_NESTED_RESPONSE_SERVICE_TIMES * self._service_seconds,
             )
             max_response_seconds = min(remaining, max_nested_seconds)
-        level = get_level(context.rank) if context is not None else None
+        level = get_urgency_level(context.rank) if context is not None else None
         try:
             # Calls of less urgent requests must not fill the queue for more urgent
             # ones.
@@ -239,7 +242,7 @@
         strictest_limit = self._find_strictest_limit(self._queued)
         raise not_run(
             strictest_limit.reason if strictest_limit else Reason.OVERLOADED,
-            f"queue is full: {counted_calls} calls",
+            f"queue is full: {counted_calls} calls ahead",
         )
 
     def _check_wait(self, calls_ahead: int, max_response_seconds: float) -> None:
@@ -437,7 +440,7 @@
 
     def _count_ahead(self, sort_time: float) -> int:
         """Return about how many queued calls precede a call with this sort time."""
-        if self._queued < 16:
+        if self._queued <= MAX_COMPARED_CALLS:
             return sum(entry[0] <= sort_time for entry in self._waiters)
         # Estimated from a sample: scanning a long queue for each call is too slow. The
         # whole heap is sampled, because the earliest times are near its beginning.
--- a/primroseglade/sidecar/call_ratios.py
+++ b/primroseglade/sidecar/call_ratios.py
@@ -120,7 +120,7 @@
         While the load rises, more runs start than end, and those that have not ended
         make calls, too.
         """
-        if self._run_counts.is_complete:
+        if self._run_counts.is_usable:
             return
         counts = self._get_interval(now).counts
         counts[route] = counts.get(route, 0.0) + 0.5
@@ -144,7 +144,7 @@
         """
         if succeeded:
             self._run_counts.record_run(route, calls, now)
-        if self._run_counts.is_complete:
+        if self._run_counts.is_usable:
             return
         interval = self._get_interval(now)
         interval.counts[route] = interval.counts.get(route, 0.0) + 0.5
@@ -168,7 +168,7 @@
                 that ends.
         """
         self._run_counts.record_call(attributed, now)
-        if self._run_counts.is_complete:
+        if self._run_counts.is_usable:
             return
         calls = self._get_interval(now).calls
         calls[route] = calls.get(route, 0.0) + 1.0
@@ -182,7 +182,7 @@
         Args:
             now: Seconds on the loop's clock.
         """
-        if self._run_counts.is_complete:
+        if self._run_counts.is_usable:
             return self._run_counts.get_ratios(now)
         self._get_interval(now)
         runs = sum(self._runs.values())
--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -242,7 +242,7 @@
             call.head,
             call.body,
             context=call.context and call.context.to_fields(now),
-            calls_left=call.calls_left,
+            remaining_calls=call.remaining_calls,
         )
         call.sent = True
         call.node = candidate.name
--- a/primroseglade/sidecar/frames.py
+++ b/primroseglade/sidecar/frames.py
@@ -109,8 +109,8 @@
         sent_ms: When the call was sent, in milliseconds on the sender's clock, which
             differs from the receiver's.
         context: The request of a caller that the call belongs to; None if unknown.
-        calls_left: Number of calls that will follow this one in the same run of the
-            backend server that makes them.
+        remaining_calls: Expected number of further calls on the same route in the same
+            run of the backend server that makes them.
     """
 
     id: int
@@ -125,7 +125,7 @@
     body: bytes
     sent_ms: int = 0
     context: ContextFields | None = None
-    calls_left: int = 0
+    remaining_calls: int = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=5):
--- a/primroseglade/sidecar/introduction.py
+++ b/primroseglade/sidecar/introduction.py
@@ -1,4 +1,4 @@
-"""Introduces a node that starts to the others, through the platform's store."""
+"""Registers a starting node in the platform's store and connects it to the others."""
 
 import asyncio
 import random
--- a/primroseglade/sidecar/load_monitor.py
+++ b/primroseglade/sidecar/load_monitor.py
@@ -11,8 +11,8 @@
 from .running_calls import RunningCalls
 from .zone_costs import ZoneCosts
 
-# Interval between rebuilds of the call graph. The call ratios that it is built from are
-# broadcast less often, except those of routes that have none yet.
+# Interval between rebuilds of the call graph. Shorter intervals would gain nothing, as
+# call ratios are broadcast less often. New routes cause a rebuild at once.
 GRAPH_REBUILD_SECONDS = 1.0
 # Interval between log lines of the admission levels, which are updated more often. They
 # are logged while any level is below 1, and once more when all are back at 1.
@@ -62,11 +62,12 @@
         self._shedding_at_last_log = False
         self._admission_logged_at = 0.0
         self._graph_built_at = 0.0
-        self._graph_route_count = 0
+        self._reported_route_count = 0
         #: Average number of calls in flight at the local backend server between the
         #: last two ticks of the periodic scheduler.
         self.average_in_flight = 0.0
-        #: Calls running there that waited for calls of their own at the last tick.
+        #: Calls running at the local backend server that waited for calls of their own
+        #: at the last tick.
         self.blocked = 0
 
     def update(self, now: float) -> None:
@@ -78,10 +79,10 @@
         route_count = self._count_reported_routes()
         if (
             now - self._graph_built_at > GRAPH_REBUILD_SECONDS
-            or route_count > self._graph_route_count
+            or route_count > self._reported_route_count
         ):
             self._graph_built_at = now
-            self._graph_route_count = route_count
+            self._reported_route_count = route_count
             self._rebuild_graph(now)
 
     def _survey(self, now: float) -> Survey:
@@ -134,7 +135,7 @@
         )
 
     def _count_reported_routes(self) -> int:
-        """Return for how many routes nodes report call ratios, over all nodes."""
+        """Return the number of routes with call ratios, summed over other nodes."""
         return sum(len(peer.state.downstream_calls or ()) for peer in self._fleet)
 
     def _rebuild_graph(self, now: float) -> None:
--- a/primroseglade/sidecar/outgoing_call.py
+++ b/primroseglade/sidecar/outgoing_call.py
@@ -18,14 +18,14 @@
         context: The request of a caller that the call belongs to; None if unknown.
         parent: The running call for which the local backend server makes this one; None
             if there is none or it is unknown.
-        calls_left: Number of calls that will follow this one in the same run.
+        remaining_calls: Expected number of further calls on the same route in the same
+            run of the local backend server.
         sent: Whether the call was sent to a node, this one included.
         node: Name of the node that it was sent to last; empty before.
     """
 
     __slots__ = (
         "body",
-        "calls_left",
         "context",
         "deadline",
         "head",
@@ -33,6 +33,7 @@
         "nested",
         "node",
         "parent",
+        "remaining_calls",
         "request_id",
         "route",
         "sent",
@@ -53,7 +54,7 @@
         tenant: str = "",
         context: RequestContext | None = None,
         parent: RunningCall | None = None,
-        calls_left: int = 0,
+        remaining_calls: int = 0,
     ):
         self.route = route
         self.service = service
@@ -66,7 +67,7 @@
         self.tenant = tenant
         self.context = context
         self.parent = parent
-        self.calls_left = calls_left
+        self.remaining_calls = remaining_calls
         self.sent = False
         self.node = ""
 
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -34,7 +34,7 @@
 from .streams import FrameStream
 from .token_broker import GrantHandler
 from .token_requests import TokenRequests
-from .work_pace import fade_slowdown
+from .work_pace import decay_slowdown
 
 # A ping is sent if requests are pending and nothing was received for this long. While
 # answers arrive, they show that the peer is alive.
@@ -140,7 +140,7 @@
         """How long work takes there at this moment, as a multiple of the average."""
         if self._slowdown == 1.0:
             return 1.0
-        return fade_slowdown(self._slowdown, time.monotonic() - self._slowdown_at)
+        return decay_slowdown(self._slowdown, time.monotonic() - self._slowdown_at)
 
     @property
     def has_pending_requests(self) -> bool:
--- a/primroseglade/sidecar/queue_statistics.py
+++ b/primroseglade/sidecar/queue_statistics.py
@@ -31,13 +31,13 @@
 
     def record_start(self, level: int | None, waited_seconds: float) -> None:
         """Record a call that starts after a wait; its level is None if unknown."""
-        statistics = self._get_level(level)
+        statistics = self._get_statistics(level)
         statistics.started += 1
         statistics.longest_wait = max(statistics.longest_wait, waited_seconds)
 
     def record_refusal(self, level: int | None) -> None:
-        """Record a call that is refused because it would wait too long."""
-        self._get_level(level).refused += 1
+        """Record a call that is refused on arrival or while it waits."""
+        self._get_statistics(level).refused += 1
 
     def log(self, journal: Journal, backend: str, queued: int, blocked: int) -> None:
         """Log the statistics since the last line, and start anew.
@@ -68,7 +68,7 @@
             },
         )
 
-    def _get_level(self, level: int | None) -> LevelStatistics:
+    def _get_statistics(self, level: int | None) -> LevelStatistics:
         statistics = self._levels.get(level)
         if statistics is None:
             statistics = self._levels[level] = LevelStatistics()
--- a/primroseglade/sidecar/request_handler.py
+++ b/primroseglade/sidecar/request_handler.py
@@ -219,13 +219,13 @@
         service = self._policies.routes.choose_service(route)
         parent: RunningCall | None = None
         context: RequestContext | None = None
-        calls_left = 0
+        remaining_calls = 0
         latency_target_at = request.arrived_at + route.target_latency
         if nested:
             parent = self._running_calls.find(fields.parent_id)
             if parent is not None:
                 context = parent.context
-                calls_left = self._count_calls_left(parent, route.name)
+                remaining_calls = self._count_remaining_calls(parent, route.name)
             self._call_ratios.record_call(route.name, now, parent is not None)
         else:
             rank = rank_request(route, tenant)
@@ -248,10 +248,10 @@
             tenant.name if tenant is not None else "",
             context,
             parent,
-            calls_left,
+            remaining_calls,
         )
 
-    def _count_calls_left(self, parent: RunningCall, route: str) -> int:
+    def _count_remaining_calls(self, parent: RunningCall, route: str) -> int:
         """Return how many calls of a route will follow the next one of a running call.
 
         Args:
--- a/primroseglade/sidecar/run_counts.py
+++ b/primroseglade/sidecar/run_counts.py
@@ -6,8 +6,9 @@
 
 from collections.abc import Mapping
 
-# Age at which a run has half its weight. The estimates follow a configuration that
-# moves routes, and outlast an overload in which few runs of a route succeed.
+# Age at which a run has half its weight: short enough to follow a configuration that
+# moves routes, long enough to keep the counts during an overload in which few runs
+# succeed.
 HALF_LIFE_SECONDS = 16.0
 DECAY_INTERVAL_SECONDS = 1.0
 # Minimum weight of the runs of a route that gets an estimate of its own, and of all
@@ -16,8 +17,9 @@
 # Fewer calls per run are dropped: they come from the last calls of a route that was
 # moved.
 MIN_CALLS_PER_RUN = 0.02
-# Maximum fraction of calls that name no running call. After a restart of this node,
-# they come from runs that began before it.
+# Maximum fraction of calls that name no running call; above it, ratios are estimated
+# (`call_ratios.py`). After a restart of this node, such calls come from runs that began
+# before it.
 MAX_UNATTRIBUTED_RATIO = 0.5
 
 
@@ -32,8 +34,8 @@
         self._decayed_at = 0.0
 
     @property
-    def is_complete(self) -> bool:
-        """Whether calls name the run that makes them; also if there are no calls."""
+    def is_usable(self) -> bool:
+        """Whether enough calls name their run for the counts to be used."""
         calls = self._attributed_calls + self._unattributed_calls
         return self._unattributed_calls <= MAX_UNATTRIBUTED_RATIO * calls
 
--- a/primroseglade/sidecar/running_calls.py
+++ b/primroseglade/sidecar/running_calls.py
@@ -48,13 +48,13 @@
         self.pending_calls += 1
 
     def end_call(self, now: float) -> None:
-        """Record that such a call was answered, refused or canceled."""
+        """Record that a call made for this one was answered, refused or canceled."""
         self.pending_calls -= 1
         if not self.pending_calls:
             self._blocked_seconds += now - self._blocked_since
 
     def measure_blocked_seconds(self, now: float) -> float:
-        """Return for how many seconds so far any such call was pending."""
+        """Return for how many seconds at least one call made for this was pending."""
         pending_seconds = now - self._blocked_since if self.pending_calls else 0.0
         return self._blocked_seconds + pending_seconds
 
--- a/primroseglade/sidecar/state_broadcast.py
+++ b/primroseglade/sidecar/state_broadcast.py
@@ -23,7 +23,8 @@
 MAX_DIRECT_NODES = 24
 # Interval at which the state includes the call ratios (``NodeState.downstream_calls``).
 # They change rarely, mostly with the configuration. Ratios of routes that were not sent
-# before are included at once: until nodes know them they cannot shed load.
+# before are included at once: until other nodes know these, they cannot refuse the
+# requests that cause the calls.
 CALL_RATIOS_INTERVAL_SECONDS = 2.0
 
 
--- a/primroseglade/sidecar/statement_recorder.py
+++ b/primroseglade/sidecar/statement_recorder.py
@@ -8,8 +8,8 @@
 from .statements import Statements
 from .work_pace import WorkPace
 
-# From this slowdown on, a backend server counts as slow in the log. It counts as
-# recovered below the second value.
+# Slowdown from which on a backend server is logged as slow, and slowdown below which it
+# is logged as recovered.
 SLOW_RATIO = 1.5
 RECOVERED_RATIO = 1.2
 # Minimum time between log lines about invalid values of the same kind: each answer may
@@ -24,7 +24,7 @@
         service: Service of the backend server.
         request_limit: Tracks the limit on requests that the backend server states.
         work_pace: Tracks how long work takes there.
-        journal: Logs the stated limit and invalid values.
+        journal: Logs stated limits, slowdowns and invalid values.
         get_instance: Returns the instance ID of the backend server, for the log.
         handle_limit_change: Called when the stated limit has changed.
     """
@@ -74,7 +74,7 @@
                 self._journal.emit(VALUE_IGNORED, service=self._service, reason=error)
 
     def log_changes(self) -> None:
-        """Log a stated limit, and slowdowns; to be called once per second."""
+        """Log the limit in force, and slowdowns; to be called once per second."""
         self._log_slowdown()
         sent_count = self._request_limit.sent_count
         if self._request_limit.rate:
--- a/primroseglade/sidecar/work_pace.py
+++ b/primroseglade/sidecar/work_pace.py
@@ -4,7 +4,7 @@
 moving average of service times shows that only after it is over.
 """
 
-# Weight of a new statement in the average of all.
+# Weight of a new statement in the moving average.
 SMOOTHING = 1 / 32
 # Age at which a statement counts half. Slowdowns of shared machines last for about half
 # a second.
@@ -12,7 +12,7 @@
 
 
 class WorkPace:
-    """Compares the stated time that work takes with the average of such statements."""
+    """Tracks the stated work time relative to its moving average."""
 
     __slots__ = ("_average_ratio", "_last_ratio", "_stated_at")
 
@@ -50,13 +50,13 @@
         if not self._average_ratio:
             return 1.0
         last_slowdown = self._last_ratio / self._average_ratio
-        return fade_slowdown(last_slowdown, now - self._stated_at)
+        return decay_slowdown(last_slowdown, now - self._stated_at)
 
 
-def fade_slowdown(slowdown: float, age_seconds: float) -> float:
-    """Return what a slowdown still counts: the less, the older the statement.
+def decay_slowdown(slowdown: float, age_seconds: float) -> float:
+    """Return a slowdown that decays to 1 with the age of its statement.
 
-    >>> fade_slowdown(3.0, HALF_LIFE_SECONDS)
+    >>> decay_slowdown(3.0, HALF_LIFE_SECONDS)
     2.0
     """
     return 1.0 + (slowdown - 1.0) * 0.5 ** (max(0.0, age_seconds) / HALF_LIFE_SECONDS)
--- a/primroseglade/sidecar/workspace_shares.py
+++ b/primroseglade/sidecar/workspace_shares.py
@@ -2,8 +2,8 @@
 
 Each workspace has a share in proportion to its weight among those that are active. A
 workspace whose calls take more than that is delayed by the time that its share would
-need to catch up. The delay is bounded, and there is none while others leave their
-shares unused, as the queue is empty then.
+need to catch up. The delay is bounded. Shares are computed over active workspaces, so
+that the share of an inactive one goes to the others.
 """
 
 # Time without a call after which a workspace is no longer active.
@@ -40,7 +40,9 @@
     def add_call(
         self, workspace: int, weight: float, call_seconds: float, now: float
     ) -> float:
-        """Add a call that has to wait, and return by how many seconds to delay it.
+        """Count a call that finds no free slot, and return its delay in seconds.
+
+        Calls that are refused afterwards count, too.
 
         Args:
             workspace: Hash of the workspace's name.
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -19,9 +19,9 @@
 # Names the instance in answers, for the checks.
 INSTANCE_HEADER = "X-Soak-Instance"
 PROCESSING_SECONDS_RANGE = (0.005, 0.06)
-# The machine is shared: for spells of this length, work takes longer in some of them.
-SPELL_SECONDS = 0.6
-SLOW_SPELL_RATIO = 0.15
+# The machine is shared: work takes longer in some intervals of this length.
+SLOWDOWN_INTERVAL_SECONDS = 0.6
+SLOW_INTERVAL_RATIO = 0.15
 SLOWDOWN = 2.5
 # Fraction of answers that state a load that cannot be true.
 INVALID_LOAD_RATIO = 0.02
@@ -61,9 +61,11 @@
         return Reply(head, f"{request_id} {'x' * 2000} end".encode())
 
     def _get_slowdown(self) -> float:
-        """Return how long work takes in the current spell, by its number."""
-        spell = int(time.monotonic() / SPELL_SECONDS)
-        slow = random.Random(f"{self.instance} {spell}").random() < SLOW_SPELL_RATIO
+        """Return how long work takes in the current interval, by its number."""
+        interval = int(time.monotonic() / SLOWDOWN_INTERVAL_SECONDS)
+        slow = (
+            random.Random(f"{self.instance} {interval}").random() < SLOW_INTERVAL_RATIO
+        )
         return SLOWDOWN if slow else 1.0
 
     def state_limit(self, limit: float) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -35,7 +35,8 @@
 STATED_LIMIT_SECONDS = 5.0
 STATED_DRAIN_SECONDS = 3.0
 TENANTS_BY_KEY = {"key-a": "north", "key-b": "north", "key-c": "south"}
-# Most requests are of one key, and demand swings from machine to machine.
+# Most requests are of one key, and demand rises and falls periodically, at other times
+# on each machine.
 KEY_WEIGHTS = (8, 1, 1)
 SWING_RATIO = 0.6
 SWING_PERIOD_SECONDS = 7.0
--- a/tests/test_queue_order.py
+++ b/tests/test_queue_order.py
@@ -8,7 +8,7 @@
 from primroseglade.sidecar.backend_queue import BackendQueue
 from primroseglade.sidecar.queue_order import compute_sort_time
 from primroseglade.sidecar.request_context import RequestContext
-from primroseglade.sidecar.workspace_shares import WorkspaceShares
+from primroseglade.sidecar.workspace_shares import MAX_DELAY_SECONDS, WorkspaceShares
 from primroseglade.verdicts import Refusal
 
 CLAIM_RANK, HISTORY_RANK = 0, 1
@@ -37,12 +37,12 @@
     context: RequestContext | None,
     target: float = LOOK_UP_TARGET,
     nested: bool = True,
-    calls_left: int = 0,
+    remaining_calls: int = 0,
 ) -> "asyncio.Task[None]":
     """Queue a call, which adds its name to ``order`` when it starts."""
 
     async def run() -> None:
-        slot = await queue.acquire(target, DEADLINE, nested, context, calls_left)
+        slot = await queue.acquire(target, DEADLINE, nested, context, remaining_calls)
         order.append(name)
         queue.release(slot, 0.01)
 
@@ -61,7 +61,11 @@
     order: list[str] = []
     tasks = [
         await enqueue(
-            queue, order, f"look-up {n}", build_context(HISTORY_RANK, 1.0), calls_left=3
+            queue,
+            order,
+            f"look-up {n}",
+            build_context(HISTORY_RANK, 1.0),
+            remaining_calls=3,
         )
         for n in range(5)
     ]
@@ -81,7 +85,7 @@
     order: list[str] = []
     look_up = build_context(HISTORY_RANK, 1.0)
     tasks = [
-        await enqueue(queue, order, f"look-up {n}", look_up, calls_left=3)
+        await enqueue(queue, order, f"look-up {n}", look_up, remaining_calls=3)
         for n in range(4 * queue.concurrency_limit)
     ]
     claim = build_context(CLAIM_RANK, CLAIM_TARGET)
@@ -94,8 +98,8 @@
 
 
 async def test_a_request_near_its_end_starts_before_one_that_has_just_begun():
-    """The last look-up of a request goes before the first of four of another, and both
-    go before one whose request is late already.
+    """Guards against losing work that is done: the last look-up of a request starts
+    before the first of four of another, and both before one that is late already.
     """
     queue = BackendQueue(2)
     slots = await fill(queue)
@@ -106,9 +110,9 @@
             order,
             name,
             build_context(HISTORY_RANK, seconds_left),
-            calls_left=calls_left,
+            remaining_calls=remaining_calls,
         )
-        for name, seconds_left, calls_left in (
+        for name, seconds_left, remaining_calls in (
             ("late", -0.1, 3),
             ("first", 1.0, 3),
             ("last", 1.0, 0),
@@ -126,28 +130,30 @@
     st.floats(0.0, 1.0),
 )
 def test_no_call_waits_for_ever_behind_more_urgent_ones(
-    rank: int, seconds_left: float, calls_left: int, target: float
+    rank: int, seconds_left: float, remaining_calls: int, target: float
 ):
-    """Guards against starving the least urgent requests, whatever arrives after them:
-    a call of the most urgent request that comes five seconds later does not overtake.
+    """Guards against starving the least urgent requests: a call of the most urgent one
+    that arrives five seconds later does not overtake them, the delay of their workspace
+    included.
     """
     context = RequestContext(rank, 1, 10.0 + seconds_left)
     urgent = RequestContext(0, 2, 15.0)
-    sort_time = compute_sort_time(10.0, target, context, calls_left)
-    assert sort_time < compute_sort_time(15.0, 0.0, urgent)
+    sort_time = compute_sort_time(10.0, target, context, remaining_calls)
+    latest_time = sort_time + MAX_DELAY_SECONDS
+    assert latest_time < compute_sort_time(15.0, 0.0, urgent)
 
 
-async def test_a_crowd_of_one_workspace_does_not_displace_the_others():
-    """Guards against a workspace at six times its usual that takes all slots of the
-    scarce service: the calls of five others start before most of its 25, which arrived
-    earlier.
+async def test_a_burst_of_one_workspace_does_not_displace_the_others():
+    """Guards against a workspace at six times its usual rate that takes all slots of
+    the scarce service: the calls of five others start before most of its 25, which
+    arrived earlier.
     """
     queue = BackendQueue(2)
     slots = await fill(queue)
     order: list[str] = []
     tasks = []
     for workspace in [1] * 25 + [2, 3, 4, 5, 6]:
-        name = "crowd" if workspace == 1 else "other"
+        name = "burst" if workspace == 1 else "other"
         context = build_context(HISTORY_RANK, 1.0, workspace)
         tasks.append(await enqueue(queue, order, name, context, 5.0))
     for slot in slots:
@@ -156,7 +162,7 @@
     assert order[:10].count("other") == 5
 
 
-def test_shares_that_others_do_not_use_are_lent():
+def test_a_workspace_within_its_share_is_not_delayed():
     """A workspace alone is not delayed, and one of two within its share neither."""
     shares = WorkspaceShares()
     delays = [shares.add_call(1, 5.0, 0.01, 0.02 * n) for n in range(50)]
@@ -177,7 +183,7 @@
     slots = await fill(queue)
     order: list[str] = []
     tasks = [
-        await enqueue(queue, order, "alert", build_context(42, 1.0), calls_left=3),
+        await enqueue(queue, order, "alert", build_context(42, 1.0), remaining_calls=3),
         await enqueue(queue, order, "unknown", None),
     ]
     queue.release(slots.pop(), 0.01)
--- a/tests/test_running_calls.py
+++ b/tests/test_running_calls.py
@@ -42,7 +42,7 @@
 
 
 def test_calls_that_name_no_run_are_estimated():
-    """A platform on which calls do not name their runs gets the estimate."""
+    """Guards against missing ratios where calls do not name their runs."""
     estimator = CallRatioEstimator()
     for index in range(100):
         now = index * 0.1
@@ -53,7 +53,7 @@
 
 
 def test_time_in_which_calls_are_pending_is_measured_once():
-    """Two calls at the same time block the running call for as long as either does."""
+    """Guards against counting blocked time twice when two calls are pending at once."""
     running_calls = RunningCalls()
     call = running_calls.start(b"a", "history", None)
     call.begin_call("owner", 1.0)
@@ -67,7 +67,7 @@
 
 
 def test_a_retry_on_the_same_server_keeps_its_own_entry():
-    """The end of an earlier run of a request does not remove the running one."""
+    """Guards against losing the context of a retry when an earlier run ends."""
     running_calls = RunningCalls()
     first = running_calls.start(b"a", "history", None)
     second = running_calls.start(b"a", "history", None)
--- a/tests/test_stated_load.py
+++ b/tests/test_stated_load.py
@@ -52,7 +52,7 @@
 
 
 def test_invalid_loads_are_logged_once():
-    """Guards against a log line for each answer of a backend server that lies."""
+    """Guards against a log line for each answer that states an invalid load."""
     recorder, logged = build_recorder(WorkPace())
     for number in range(50):
         recorder.log_errors(read_statements([(LOAD, b"%d,x" % number)]))
@@ -107,7 +107,7 @@
     assert count_choices(2.5) == 0
 
 
-def test_a_lying_figure_shuts_out_no_server_for_good():
+def test_a_constant_figure_does_not_exclude_a_server():
     """A backend server that always states the same figure counts as usual, however
     high that is: the figure is compared with its own average.
     """
