Leave calls that are gone out of the queue's estimates

Cause: expired and canceled calls stay in the heap until they are popped.

Change: they are left out of what counts as ahead, and the heap is rebuilt once they are the most part of it. A workspace's share counts only calls that are queued, and follows a changed rate.

--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -9,7 +9,7 @@
 import heapq
 import itertools
 import time
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 
 from ..verdicts import not_run, Reason, Refusal
 from .queue_order import compute_sort_time, get_urgency_level
@@ -113,6 +113,11 @@
         """Number of queued calls."""
         return self._queued
 
+    @property
+    def reclaimed_slots(self) -> Set[int]:
+        """IDs of slots whose calls no longer count as running."""
+        return self._reclaimed_slots
+
     @property
     def running(self) -> int:
         """Number of running calls, except those whose slot was reclaimed."""
@@ -198,12 +203,7 @@
             return self._take_slot(now)
         sort_time = compute_sort_time(now, latency_target, context, remaining_calls)
         if context is not None:
-            sort_time += self._shares.add_call(
-                context.workspace,
-                context.weight,
-                self._service_seconds / self._concurrency_limit,
-                now,
-            )
+            sort_time += self._shares.get_delay(context.workspace, now)
         calls_ahead = self._count_ahead(sort_time)
         max_response_seconds = remaining
         if nested:
@@ -220,6 +220,13 @@
                 nested, calls_ahead if context is not None else self._queued
             )
             self._check_wait(calls_ahead, max_response_seconds)
+            if context is not None:
+                self._shares.record_call(
+                    context.workspace,
+                    context.weight,
+                    self._service_seconds / self._concurrency_limit,
+                    now,
+                )
             slot = await self._wait_for_slot(sort_time, now, remaining)
         except Refusal:
             self.statistics.record_refusal(level)
@@ -440,13 +447,21 @@
 
     def _count_ahead(self, sort_time: float) -> int:
         """Return about how many queued calls precede a call with this sort time."""
+        if len(self._waiters) > 2 * self._queued + MAX_SAMPLED_CALLS:
+            # Calls that were canceled or refused stay in the heap until they are
+            # popped, those of less urgent requests for long.
+            self._waiters = [entry for entry in self._waiters if not entry[3].done()]
+            heapq.heapify(self._waiters)
         if self._queued <= MAX_COMPARED_CALLS:
-            return sum(entry[0] <= sort_time for entry in self._waiters)
+            return sum(
+                entry[0] <= sort_time for entry in self._waiters if not entry[3].done()
+            )
         # Estimated from a sample: scanning a long queue for each call is too slow. The
         # whole heap is sampled, because the earliest times are near its beginning.
-        sample = self._waiters[:: len(self._waiters) // MAX_SAMPLED_CALLS + 1]
-        fraction_ahead = sum(entry[0] <= sort_time for entry in sample) / len(sample)
-        return int(fraction_ahead * self._queued)
+        step = len(self._waiters) // MAX_SAMPLED_CALLS + 1
+        sample = [entry for entry in self._waiters[::step] if not entry[3].done()]
+        calls_ahead = sum(entry[0] <= sort_time for entry in sample)
+        return int(calls_ahead / max(1, len(sample)) * self._queued)
 
     def start_queued_calls(self) -> None:
         """Start the queued calls for which slots are free, in their order."""
--- a/primroseglade/sidecar/workspace_shares.py
+++ b/primroseglade/sidecar/workspace_shares.py
@@ -37,12 +37,15 @@
         self._total_weight = 0.0
         self._pruned_at = 0.0
 
-    def add_call(
-        self, workspace: int, weight: float, call_seconds: float, now: float
-    ) -> float:
-        """Count a call that finds no free slot, and return its delay in seconds.
+    def get_delay(self, workspace: int, now: float) -> float:
+        """Return by how many seconds a call of a workspace is delayed."""
+        share = self._shares.get(workspace)
+        return max(0.0, share.served_until - now) if share is not None else 0.0
 
-        Calls that are refused afterwards count, too.
+    def record_call(
+        self, workspace: int, weight: float, call_seconds: float, now: float
+    ) -> None:
+        """Record a call that is queued.
 
         Args:
             workspace: Hash of the workspace's name.
@@ -55,16 +58,15 @@
             self._prune(now)
         share = self._shares.get(workspace)
         if share is None:
-            share = self._shares[workspace] = _Share(weight, now)
-            self._total_weight += weight
+            share = self._shares[workspace] = _Share(0.0, now)
+        self._total_weight += weight - share.weight
+        share.weight = weight
         share.seen_at = now
-        delay = max(0.0, share.served_until - now)
         served_from = max(now, share.served_until)
         share.served_until = min(
             served_from + call_seconds * self._total_weight / share.weight,
             now + MAX_DELAY_SECONDS,
         )
-        return delay
 
     def _prune(self, now: float) -> None:
         """Remove workspaces that are no longer active."""
--- a/tests/test_queue_order.py
+++ b/tests/test_queue_order.py
@@ -165,16 +165,36 @@
 def test_a_workspace_within_its_share_is_not_delayed():
     """A workspace alone is not delayed, and one of two within its share neither."""
     shares = WorkspaceShares()
-    delays = [shares.add_call(1, 5.0, 0.01, 0.02 * n) for n in range(50)]
-    assert max(delays) == 0.0
+    for number in range(50):
+        assert shares.get_delay(1, 0.02 * number) == 0.0
+        shares.record_call(1, 5.0, 0.01, 0.02 * number)
     shares = WorkspaceShares()
     for number in range(100):
         now = 0.02 * number
-        shares.add_call(1, 1.0, 0.01, now)
-        shares.add_call(1, 1.0, 0.01, now)
-        delay = shares.add_call(2, 1.0, 0.01, now)
+        for workspace in (1, 1, 2):
+            delay = shares.get_delay(workspace, now)
+            shares.record_call(workspace, 1.0, 0.01, now)
     assert delay == pytest.approx(0.0, abs=0.011)
-    assert shares.add_call(1, 1.0, 0.01, now) > 0.3
+    assert shares.get_delay(1, now) > 0.3
+
+
+async def test_calls_that_were_refused_are_not_counted_as_ahead():
+    """Guards against refusing calls because of a queue of calls that are gone: those of
+    less urgent requests that expired stay in the heap for long.
+    """
+    queue = BackendQueue(2)
+    slots = await fill(queue)
+    expired = [
+        asyncio.create_task(queue.acquire(0.3, 0.05, True, build_context(42, 1.0), 3))
+        for _ in range(25)
+    ]
+    await asyncio.gather(*expired, return_exceptions=True)
+    order: list[str] = []
+    task = await enqueue(queue, order, "claim", build_context(52, 0.5), 0.5, False)
+    assert not task.done()
+    queue.release(slots.pop(), 0.01)
+    await task
+    assert order == ["claim"]
 
 
 async def test_a_call_of_an_unknown_request_is_not_put_last():
