Let a service that is out of slots shed load; do not trust IDs of running calls

A service whose slots are all held by calls that wait for a healthy one (420 ms held, 20 ms of work) kept a level of 1 at three calls a slot. Blocked calls whose slot was reclaimed were subtracted though they are not in flight. Callers choose IDs: a second call with the same ID took the place of the first, and a caller could send thousands of calls in the name of its own request, which counted as calls of the run.

Change: states carry the time for which slots are held and that of work; while slots are full, the former limits the service. Reclaimed slots are left out. An ID that two running calls have names none of them. A run counts 64 calls to one route at most.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -177,9 +177,16 @@
 
     @property
     def slot_ms(self) -> float:
-        """Average milliseconds for which a call holds a slot, 0 before the first.
+        """Average milliseconds for which a call holds a slot, 0 before the first."""
+        if not self.queue.has_measurement:
+            return 0.0
+        return round(self.queue.slot_seconds * 1000, 2)
+
+    @property
+    def work_ms(self) -> float:
+        """Average milliseconds of work on a call, 0 before the first.
 
-        Without the time for which the backend server waits for calls of its own.
+        The backend server does not work while it waits for calls of its own.
         """
         if not self.queue.has_measurement:
             return 0.0
@@ -375,7 +382,9 @@
         started = time.monotonic()
         completed = succeeded = False
         self._call_ratios.record_start(call.route, started)
-        running_call = self._running_calls.start(call.request_id, call.route, context)
+        running_call = self._running_calls.start(
+            call.request_id, call.route, context, slot
+        )
         try:
             # The backend server may have been drained while the call was queued.
             self._check_instance(call)
@@ -405,6 +414,7 @@
         self._draining = True
         self._failure_ratio.reset()
         self.warm_up.record_cold_time(0.0)
+        self._work_pace.reset()
         self.request_limit.reset()
         self.queue.resize(report.slots)
 
@@ -465,6 +475,10 @@
             assumed=self.warm_up.is_assumed,
         )
 
+    def count_blocked(self) -> int:
+        """Return the number of calls in flight that wait for calls of their own."""
+        return self._running_calls.count_blocked(self.queue.reclaimed_slots)
+
     def log(self) -> None:
         """Log what has changed in the last second."""
         self.statements.log_changes()
@@ -472,7 +486,7 @@
             self._journal,
             self.instance,
             self.queue.queued,
-            self._running_calls.count_blocked(),
+            self.count_blocked(),
         )
 
     def _record_statements(
--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -53,8 +53,13 @@
                     state.request_limit, state.in_flight, state.slots, state.slot_ms
                 )
             else:
-                working = max(0.0, state.in_flight - state.blocked)
-                load.add(working, state.slots, state.slot_ms)
+                load.add(
+                    state.in_flight,
+                    state.slots,
+                    state.slot_ms,
+                    state.blocked,
+                    state.work_ms,
+                )
             self.record_cost(
                 service, peer.entry.zone, estimate_penalty_ms(build_candidate(peer))
             )
--- a/primroseglade/sidecar/load_monitor.py
+++ b/primroseglade/sidecar/load_monitor.py
@@ -8,7 +8,6 @@
 from .fleet import Fleet, Survey
 from .load_balancing import estimate_penalty_ms
 from .policy_tracker import PolicyTracker
-from .running_calls import RunningCalls
 from .zone_costs import ZoneCosts
 
 # Interval between rebuilds of the call graph. Shorter intervals would gain nothing, as
@@ -27,7 +26,6 @@
 
     Args:
         backend: The local backend server.
-        running_calls: The calls that run on it.
         fleet: The other nodes.
         admission: Receives the load and demand of each service.
         graph: Receives the call ratios of each service.
@@ -41,7 +39,6 @@
     def __init__(
         self,
         backend: Backend,
-        running_calls: RunningCalls,
         fleet: Fleet,
         admission: Admission,
         graph: CallGraph,
@@ -51,7 +48,6 @@
         journal: Journal,
     ):
         self._backend = backend
-        self._running_calls = running_calls
         self._fleet = fleet
         self._admission = admission
         self._graph = graph
@@ -90,7 +86,7 @@
         survey = self._fleet.survey()
         backend = self._backend
         self.average_in_flight = backend.queue.take_average_in_flight()
-        self.blocked = self._running_calls.count_blocked()
+        self.blocked = backend.count_blocked()
         local_candidate = backend.build_candidate("")
         if local_candidate is not None:
             load = survey.loads.setdefault(backend.service, ServiceLoad())
@@ -105,8 +101,13 @@
                     backend.slot_ms,
                 )
             else:
-                working = max(0.0, self.average_in_flight - self.blocked)
-                load.add(working, backend.slots, backend.slot_ms)
+                load.add(
+                    self.average_in_flight,
+                    backend.slots,
+                    backend.slot_ms,
+                    self.blocked,
+                    backend.work_ms,
+                )
             cost_ms = estimate_penalty_ms(local_candidate)
             survey.record_cost(backend.service, self._fleet.zone, cost_ms)
         for service, calls in self._admission.measure_demand(now).items():
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -342,8 +342,7 @@
             state delivered late by a relay is discarded.
         demand: Calls per second caused by requests of callers, admitted or not, by
             service.
-        slot_ms: Typical time for which a call holds a slot, in milliseconds, without
-            the time for which it waits for calls of its own.
+        slot_ms: Typical time for which a call holds a slot, in milliseconds.
         start_rate: Calls per second that may start at the backend server while it is
             cold; 0 if starts are not limited.
         cold_ms: Milliseconds for which the backend server stays cold.
@@ -358,6 +357,8 @@
         blocked: Calls running at the backend server that wait for calls of their own.
         slowdown_percent: How long work takes at the backend server at this moment, in
             percent of the average, as it states itself.
+        work_ms: Typical part of ``slot_ms`` for which the backend server works on a
+            call, and does not wait for calls of its own; 0 if not measured.
     """
 
     instance: str = ""
@@ -380,6 +381,7 @@
     start_time_ms: int = 0
     blocked: int = 0
     slowdown_percent: int = 100
+    work_ms: float = 0.0
 
     def copy(self) -> "NodeState":
         """Return a shallow copy, to be modified independently."""
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -214,7 +214,6 @@
         )
         self._load_monitor = LoadMonitor(
             self.backend,
-            self.running_calls,
             self.fleet,
             self.admission,
             self.graph,
@@ -545,6 +544,7 @@
             start_time_ms=backend.start_time_ms,
             blocked=self._load_monitor.blocked,
             slowdown_percent=backend.slowdown_percent,
+            work_ms=backend.work_ms,
         )
 
     def _estimate_cross_zone_surcharge_ms(self, name: str) -> float:
--- a/primroseglade/sidecar/node_metrics.py
+++ b/primroseglade/sidecar/node_metrics.py
@@ -207,7 +207,7 @@
         (
             "blocked",
             "Calls running at the backend server that wait for calls of their own.",
-            node.running_calls.count_blocked(),
+            backend.count_blocked(),
         ),
         (
             "slowdown_ratio",
--- a/primroseglade/sidecar/request_handler.py
+++ b/primroseglade/sidecar/request_handler.py
@@ -265,9 +265,9 @@
         self, call: OutgoingCall, tenant: Tenant | None
     ) -> Outcome:
         """Send a call and return its outcome; cancel it at its deadline."""
+        tracked_deadline = self._deadlines.start(call.deadline)
         if call.parent is not None:
             call.parent.begin_call(call.route.name, time.monotonic())
-        tracked_deadline = self._deadlines.start(call.deadline)
         try:
             return await self._dispatcher.dispatch(call)
         except asyncio.CancelledError as error:
--- a/primroseglade/sidecar/running_calls.py
+++ b/primroseglade/sidecar/running_calls.py
@@ -5,8 +5,14 @@
 call is blocked: it holds its slot, and the backend server does not work on it.
 """
 
+from collections.abc import Container
+
 from .request_context import RequestContext
 
+# Maximum number of counted calls of one run to one route. Callers could send more calls
+# in the name of a run than its backend server makes.
+MAX_COUNTED_CALLS = 64
+
 
 class RunningCall:
     """A call that runs on the local backend server.
@@ -15,6 +21,7 @@
         request_id: ID of the call.
         route: Name of its route.
         context: The request that it belongs to; None if unknown.
+        slot: ID of its slot.
 
     Attributes:
         calls: Number of calls that the backend server has made for it so far, by route.
@@ -29,12 +36,20 @@
         "pending_calls",
         "request_id",
         "route",
+        "slot",
     )
 
-    def __init__(self, request_id: bytes, route: str, context: RequestContext | None):
+    def __init__(
+        self,
+        request_id: bytes,
+        route: str,
+        context: RequestContext | None,
+        slot: int = 0,
+    ):
         self.request_id = request_id
         self.route = route
         self.context = context
+        self.slot = slot
         self.calls: dict[str, int] = {}
         self.pending_calls = 0
         self._blocked_seconds = 0.0
@@ -42,7 +57,7 @@
 
     def begin_call(self, route: str, now: float) -> None:
         """Record a call that the backend server makes for this one."""
-        self.calls[route] = self.calls.get(route, 0) + 1
+        self.calls[route] = min(MAX_COUNTED_CALLS, self.calls.get(route, 0) + 1)
         if not self.pending_calls:
             self._blocked_since = now
         self.pending_calls += 1
@@ -63,24 +78,41 @@
     """Finds the running call for which the local backend server makes another."""
 
     def __init__(self) -> None:
-        self._calls: dict[bytes, RunningCall] = {}
+        # Callers choose the IDs, so that several running calls may have the same.
+        self._calls: dict[bytes, list[RunningCall]] = {}
 
     def start(
-        self, request_id: bytes, route: str, context: RequestContext | None
+        self,
+        request_id: bytes,
+        route: str,
+        context: RequestContext | None,
+        slot: int = 0,
     ) -> RunningCall:
         """Add a call that is sent to the backend server."""
-        call = self._calls[request_id] = RunningCall(request_id, route, context)
+        call = RunningCall(request_id, route, context, slot)
+        self._calls.setdefault(request_id, []).append(call)
         return call
 
     def end(self, call: RunningCall) -> None:
         """Remove a call."""
-        if self._calls.get(call.request_id) is call:
+        calls = self._calls[call.request_id]
+        calls.remove(call)
+        if not calls:
             del self._calls[call.request_id]
 
-    def count_blocked(self) -> int:
-        """Return the number of running calls that wait for calls of their own."""
-        return sum(call.pending_calls > 0 for call in self._calls.values())
+    def count_blocked(self, reclaimed_slots: Container[int] = ()) -> int:
+        """Return the number of running calls that wait for calls of their own.
+
+        Args:
+            reclaimed_slots: IDs of slots whose calls are not counted.
+        """
+        return sum(
+            call.pending_calls > 0 and call.slot not in reclaimed_slots
+            for calls in self._calls.values()
+            for call in calls
+        )
 
     def find(self, request_id: bytes) -> RunningCall | None:
-        """Return the running call with an ID; None if there is none."""
-        return self._calls.get(request_id) if request_id else None
+        """Return the running call with an ID; None if there is none or several."""
+        calls = self._calls.get(request_id, ()) if request_id else ()
+        return calls[0] if len(calls) == 1 else None
--- a/tests/test_running_calls.py
+++ b/tests/test_running_calls.py
@@ -4,7 +4,7 @@
 
 from primroseglade.sidecar.admission import ServiceLoad
 from primroseglade.sidecar.call_ratios import CallRatioEstimator
-from primroseglade.sidecar.running_calls import RunningCalls
+from primroseglade.sidecar.running_calls import MAX_COUNTED_CALLS, RunningCalls
 
 
 def test_overlapping_runs_of_two_routes_are_counted_apart():
@@ -67,22 +67,54 @@
 
 
 def test_a_retry_on_the_same_server_keeps_its_own_entry():
-    """Guards against losing the context of a retry when an earlier run ends."""
+    """Guards against taking one of two calls with the same ID for the other."""
     running_calls = RunningCalls()
     first = running_calls.start(b"a", "history", None)
     second = running_calls.start(b"a", "history", None)
+    assert running_calls.find(b"a") is None
     running_calls.end(first)
     assert running_calls.find(b"a") is second
+    running_calls.end(second)
+    assert running_calls.find(b"a") is None
     assert running_calls.find(b"") is None
 
 
+def test_a_caller_cannot_inflate_the_calls_of_a_run():
+    """Guards against a caller that sends calls in the name of its own request, so that
+    admission refuses other requests of the route.
+    """
+    call = RunningCalls().start(b"a", "history", None)
+    for _ in range(2000):
+        call.begin_call("owner", 0.0)
+    assert call.calls == {"owner": MAX_COUNTED_CALLS}
+
+
 def test_calls_blocked_by_a_slow_service_are_no_load_of_their_own():
     """Guards against refusing uploads at a service with free capacity: most of its
     slots were held by index reads that waited for an overloaded service.
     """
     load = ServiceLoad()
-    running, blocked = 180, 170
-    load.add(running - blocked, 196, work_ms=15.0)
+    load.add(180, 196, 400.0, blocked=170, work_ms=15.0)
     assert load.utilization < 0.1
     assert load.queued == 0
     assert load.capacity == pytest.approx(196 / 0.015)
+
+
+def test_a_service_out_of_slots_counts_as_overloaded():
+    """Guards against a service that never sheds load: all of its slots are held by
+    calls that wait for a healthy service, and further calls wait for a slot.
+    """
+    load = ServiceLoad()
+    load.add(60, 15, 420.0, blocked=14, work_ms=20.0)
+    assert load.utilization == pytest.approx(4.0)
+    assert load.queued == pytest.approx(45.0)
+    assert load.capacity == pytest.approx(15 / 0.42)
+
+
+def test_a_reclaimed_slot_is_not_blocked():
+    """Guards against subtracting calls that the queue no longer counts as running."""
+    running_calls = RunningCalls()
+    for slot in (1, 2):
+        running_calls.start(b"%d" % slot, "history", None, slot).begin_call("a", 0.0)
+    assert running_calls.count_blocked() == 2
+    assert running_calls.count_blocked({1}) == 1
