Add a test of calls and states between two builds

Cause: new trailing fields must not keep nodes of two builds from reading each other.

Change: a call and a state without the last fields are decoded, with their defaults.

The other direction is msgspec's: unknown trailing fields are ignored.

--- a/tests/test_mesh_request_context.py
+++ b/tests/test_mesh_request_context.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
-from primroseglade.sidecar.frames import Call
-from primroseglade.sidecar.model import LOWEST_PRIORITY
+from primroseglade.sidecar.frames import Call, encode_frame, FrameReader, LENGTH_PREFIX
+from primroseglade.sidecar.model import LOWEST_PRIORITY, NodeState
+from primroseglade.sidecar.request_context import ContextFields
 
 from .mesh import Mesh, send_request
 
@@ -39,3 +41,37 @@
     assert contexts[b"r1.7"].rank == LOWEST_PRIORITY + 1 + 1
     assert 0 < contexts[b"r1.7"].target_ms < 500
     assert contexts[b"r2.7"] is None
+
+
+NEW_CALL_FIELDS, NEW_STATE_FIELDS = 2, 3
+
+
+def test_calls_and_states_of_older_nodes_are_understood():
+    """Guards against nodes of two builds that cannot read each other during a rollout:
+    older ones leave out the last fields, and ignore those that they do not know.
+    """
+    call = Call(
+        1,
+        "i",
+        "r",
+        b"id",
+        900.0,
+        300.0,
+        True,
+        True,
+        b"",
+        b"",
+        5,
+        ContextFields(11, 7, 4),
+    )
+    fields = msgspec.msgpack.decode(encode_frame(call)[LENGTH_PREFIX.size :])
+    old_payload = msgspec.msgpack.encode(fields[:-NEW_CALL_FIELDS])
+    (decoded,) = FrameReader().feed(LENGTH_PREFIX.pack(len(old_payload)) + old_payload)
+    assert (decoded.request_id, decoded.context) == (b"id", None)
+    state = NodeState("i", 8, 2.5, 12.0, work_ms=9.0, blocked=3)
+    old_state = msgspec.msgpack.decode(msgspec.msgpack.encode(state))[
+        :-NEW_STATE_FIELDS
+    ]
+    decoded_state = msgspec.convert(old_state, NodeState)
+    assert (decoded_state.slots, decoded_state.work_ms) == (8, 0.0)
+    assert decoded_state.slowdown_percent == 100
