--- a/primroseglade/emulator/backend_server.py
+++ b/primroseglade/emulator/backend_server.py
@@ -25,7 +25,7 @@
 LIMIT_HEADER = b"limit"
 LEAVING_HEADER = b"leaving"
 # Makes a call to a route within some seconds, and returns the status of the answer.
-MakeCall = Callable[[str, float], Awaitable[int]]
+MakeCall = Callable[[bytes, str, float], Awaitable[int]]
 
 
 class EmulatedBackendServer:
@@ -206,21 +206,26 @@
         seconds = self._draw_work_seconds(route)
         await asyncio.sleep(seconds / 2)
         for calls in route.downstream_calls:
-            if not await self._make_calls(calls, ends_at):
+            if not await self._make_calls(call.request_id, calls, ends_at):
                 return Response(ERROR_STATUS, [])
         await asyncio.sleep(seconds / 2)
         failed = self._rng.random() < route.error_ratio
         return Response(ERROR_STATUS if failed else 200, [])
 
-    async def _make_calls(self, calls: DownstreamCalls, ends_at: float) -> bool:
+    async def _make_calls(
+        self, request_id: bytes, calls: DownstreamCalls, ends_at: float
+    ) -> bool:
         """Make the downstream calls of a run; return whether all succeeded."""
         if calls.parallel:
             remaining = ends_at - time.monotonic()
-            made = [self._make_call(calls.route, remaining) for _ in range(calls.count)]
+            made = [
+                self._make_call(request_id, calls.route, remaining)
+                for _ in range(calls.count)
+            ]
             return all(status == 200 for status in await asyncio.gather(*made))
         for _ in range(calls.count):
             remaining = ends_at - time.monotonic()
-            if await self._make_call(calls.route, remaining) != 200:
+            if await self._make_call(request_id, calls.route, remaining) != 200:
                 return False
         return True
 
--- a/primroseglade/emulator/mesh.py
+++ b/primroseglade/emulator/mesh.py
@@ -82,8 +82,9 @@
     def read_request(self, request: Request) -> CallerFields:
         """Return the fields of a request: its ID and timeout are its headers."""
         (request_id, timeout), *key = request.headers
+        parent_id = request_id.rpartition(b".")[0]
         return CallerFields(
-            request_id, HOST.encode(), KEY if key else b"", float(timeout)
+            request_id, HOST.encode(), KEY if key else b"", float(timeout), parent_id
         )
 
     def render_request(self, request: Request, service: str, tenant: str) -> bytes:
@@ -365,7 +366,12 @@
         return slot.frame
 
     async def call(
-        self, mesh_node: MeshNode, route: str, seconds: float, nested: bool
+        self,
+        mesh_node: MeshNode,
+        route: str,
+        seconds: float,
+        nested: bool,
+        parent_id: bytes = b"",
     ) -> Reply:
         """Send a request to a node as a caller or its backend server does.
 
@@ -374,8 +380,11 @@
             route: Name of the route.
             seconds: Time for which the caller waits.
             nested: Whether the backend server makes the call.
+            parent_id: ID of the call for which it makes it.
         """
         request_id = str(next(self._request_ids)).encode()
+        if parent_id:
+            request_id = b"%b.%b" % (parent_id, request_id)
         headers = [(request_id, str(seconds).encode())]
         if not nested:
             headers.append((b"key", KEY))
@@ -401,10 +410,11 @@
         name = f"{service}-{zone}-{number}"
         entry = NodeEntry(name, UNUSED_ADDRESS, zone, service, 0)
 
-        async def make_call(route: str, seconds: float) -> int:
+        async def make_call(parent_id: bytes, route: str, seconds: float) -> int:
             described = self._deployment.routes[route]
             seconds = min(seconds, described.budget_ms / 1000)
-            reply = await self.call(self.nodes[name], route, seconds, nested=True)
+            node = self.nodes[name]
+            reply = await self.call(node, route, seconds, True, parent_id)
             return read_status(reply)
 
         server = EmulatedBackendServer(
