--- a/primroseglade/sidecar/admission_order.py
+++ b/primroseglade/sidecar/admission_order.py
@@ -15,9 +15,9 @@
 # with the next more urgent one if its requests make less than half as many calls.
 PRIORITY_WEIGHT_RATIO = 2.0
 # Minimum admitted fraction of a rank, relative to the average over all requests.
-# Callers count a kind of request as starved below a quarter; some of those that are
-# admitted fail later.
-MIN_AVERAGE_RATIO = 0.3
+# Callers count a kind of request as starved below a quarter over minutes, in which it
+# is admitted to a greater part while there is room.
+MIN_AVERAGE_RATIO = 0.2
 # Part of the admitted calls that these minimum fractions may use. The rest goes by
 # urgency alone.
 MAX_FLOOR_CALL_RATIO = 0.5
@@ -89,9 +89,9 @@
     >>> admit(100.0, (0, 10, 80.0), (1, 10, 80.0))
     {0: 1.0, 1: 0.25}
     >>> admit(80.0, (0, 10, 80.0), (1, 10, 80.0))
-    {0: 0.85, 1: 0.15}
+    {0: 0.9, 1: 0.1}
     >>> admit(45.0, (0, 10, 80.0), (1, 10, 10.0), (2, 10, 80.0))
-    {0: 0.4111, 1: 0.4111, 2: 0.1}
+    {0: 0.4407, 1: 0.4407, 2: 0.0667}
     """
     demands = list(demands)
     fractions = _admit_by_urgency(demands, admitted_calls, 0.0)
