Split the admission of a call and the queue's bound on nested calls

Change: finding the call that a nested one is made for, and the time in which a nested call has to be answered, are methods of their own.

--- a/primroseglade/sidecar/backend_queue.py
+++ b/primroseglade/sidecar/backend_queue.py
@@ -207,11 +207,9 @@
         calls_ahead = self._count_ahead(sort_time)
         max_response_seconds = remaining
         if nested:
-            max_nested_seconds = max(
-                latency_target,
-                MAX_NESTED_RESPONSE_SERVICE_TIMES * self._service_seconds,
+            max_response_seconds = self._limit_nested_response(
+                latency_target, remaining
             )
-            max_response_seconds = min(remaining, max_nested_seconds)
         level = get_urgency_level(context.rank) if context is not None else None
         try:
             # Calls of less urgent requests must not fill the queue for more urgent
@@ -234,6 +232,13 @@
         self.statistics.record_start(level, time.monotonic() - now)
         return slot
 
+    def _limit_nested_response(self, latency_target: float, remaining: float) -> float:
+        """Return the seconds in which a nested call has to be answered."""
+        max_nested_seconds = max(
+            latency_target, MAX_NESTED_RESPONSE_SERVICE_TIMES * self._service_seconds
+        )
+        return min(remaining, max_nested_seconds)
+
     def _check_length(self, nested: bool, counted_calls: int) -> None:
         """Refuse a call if too many calls are queued.
 
--- a/primroseglade/sidecar/outgoing_call.py
+++ b/primroseglade/sidecar/outgoing_call.py
@@ -52,9 +52,6 @@
         deadline: float,
         latency_target_at: float,
         tenant: str = "",
-        context: RequestContext | None = None,
-        parent: RunningCall | None = None,
-        remaining_calls: int = 0,
     ):
         self.route = route
         self.service = service
@@ -65,9 +62,9 @@
         self.deadline = deadline
         self.latency_target_at = latency_target_at
         self.tenant = tenant
-        self.context = context
-        self.parent = parent
-        self.remaining_calls = remaining_calls
+        self.context: RequestContext | None = None
+        self.parent: RunningCall | None = None
+        self.remaining_calls = 0
         self.sent = False
         self.node = ""
 
--- a/primroseglade/sidecar/request_handler.py
+++ b/primroseglade/sidecar/request_handler.py
@@ -19,7 +19,7 @@
 from .outgoing_call import Outcome, OutgoingCall
 from .policy_tracker import PolicyTracker
 from .quota import Quotas, TokenDecision
-from .request_context import build_context, RequestContext
+from .request_context import build_context
 from .retry_after import draw_retry_after
 from .retry_budget import RetryBudget
 from .running_calls import RunningCall, RunningCalls
@@ -217,39 +217,46 @@
         nested = tenant is None and route.public
         now = time.monotonic()
         service = self._policies.routes.choose_service(route)
-        parent: RunningCall | None = None
-        context: RequestContext | None = None
-        remaining_calls = 0
-        latency_target_at = request.arrived_at + route.target_latency
-        if nested:
-            parent = self._running_calls.find(fields.parent_id)
-            if parent is not None:
-                context = parent.context
-                remaining_calls = self._count_remaining_calls(parent, route.name)
-            self._call_ratios.record_call(route.name, now, parent is not None)
-        else:
-            rank = rank_request(route, tenant)
+        rank = rank_request(route, tenant)
+        if not nested:
             self._check_admission(route, service, rank, deadline - now, now)
             self._retry_budget.record_first_attempt(service, now)
-            if tenant is not None:
-                context = build_context(rank, tenant, latency_target_at)
-        head = self._dialect.render_request(
-            request, self._service, tenant.name if tenant is not None else ""
-        )
-        return OutgoingCall(
+        latency_target_at = request.arrived_at + route.target_latency
+        tenant_name = tenant.name if tenant is not None else ""
+        call = OutgoingCall(
             route,
             service,
             fields.request_id,
-            head,
+            self._dialect.render_request(request, self._service, tenant_name),
             request.body,
             nested,
             deadline,
             latency_target_at,
-            tenant.name if tenant is not None else "",
-            context,
-            parent,
-            remaining_calls,
+            tenant_name,
         )
+        if nested:
+            self._identify_parent(call, fields.parent_id, now)
+        elif tenant is not None:
+            call.context = build_context(rank, tenant, latency_target_at)
+        return call
+
+    def _identify_parent(
+        self, call: OutgoingCall, parent_id: bytes, now: float
+    ) -> None:
+        """Find the running call that a nested call is made for, and count the call.
+
+        Args:
+            call: The nested call, which receives the parent and its context.
+            parent_id: ID of the running call; empty if the request names none.
+            now: Seconds on the loop's clock.
+        """
+        parent = self._running_calls.find(parent_id)
+        self._call_ratios.record_call(call.route.name, now, parent is not None)
+        if parent is None:
+            return
+        call.parent = parent
+        call.context = parent.context
+        call.remaining_calls = self._count_remaining_calls(parent, call.route.name)
 
     def _count_remaining_calls(self, parent: RunningCall, route: str) -> int:
         """Return how many calls of a route will follow the next one of a running call.
