Broadcast demand as whole numbers, and the time of work only where it differs

Cause: states had grown from 144 to 147 bytes (155 while calls fail) by the load that admission needs now; the node that relays a zone's states sends mostly these.

Change: demand of ten calls a second and more is a whole number, of two or three bytes instead of nine; the time of work is left out where it is the time that slots are held.

--- a/primroseglade/sidecar/admission.py
+++ b/primroseglade/sidecar/admission.py
@@ -54,6 +54,8 @@
 # Window in which demand is counted: long enough for each node to receive some requests,
 # short enough to notice a burst before queues are full.
 DEMAND_WINDOW_SECONDS = 1.0
+# Demand from which on it is broadcast as a whole number of calls per second.
+MIN_WHOLE_DEMAND = 10.0
 # A request that makes fewer calls than this to a service on average does not count
 # towards the service's demand and is not refused because of the service's overload.
 MIN_CALLS_PER_REQUEST = 0.05
@@ -297,7 +299,12 @@
             / DEMAND_WINDOW_SECONDS
             for service, ranks in self._demand.items()
         }
-        return {service: round(calls, 1) for service, calls in demand.items() if calls}
+        # Whole numbers take two or three bytes in a broadcast, fractions nine.
+        return {
+            service: round(calls) if calls >= MIN_WHOLE_DEMAND else round(calls, 1)
+            for service, calls in demand.items()
+            if calls
+        }
 
     def update(
         self, loads: Mapping[str, ServiceLoad], demand: Mapping[str, float], now: float
--- a/primroseglade/sidecar/model.py
+++ b/primroseglade/sidecar/model.py
@@ -358,7 +358,8 @@
         slowdown_percent: How long work takes at the backend server at this moment, in
             percent of the average, as it states itself.
         work_ms: Typical part of ``slot_ms`` for which the backend server works on a
-            call, and does not wait for calls of its own; 0 if not measured.
+            call, and does not wait for calls of its own; 0 if not measured, or if it
+            makes none.
     """
 
     instance: str = ""
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -544,7 +544,7 @@
             start_time_ms=backend.start_time_ms,
             blocked=self._load_monitor.blocked,
             slowdown_percent=backend.slowdown_percent,
-            work_ms=backend.work_ms,
+            work_ms=backend.work_ms if backend.work_ms != backend.slot_ms else 0,
         )
 
     def _estimate_cross_zone_surcharge_ms(self, name: str) -> float:
