Move the load of a service into a module

Change: what nodes report of a service's backend servers is summed in `service_load.py`. No behaviour changes.

Result: tests of admission, load, warm-up, limits and the emulated scarce service pass.

--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -5,12 +5,12 @@
 
 from ..observe.events import Journal, PEER_DISCOVERED, PEER_REMOVED
 from ..supervisor import Supervisor
-from .admission import ServiceLoad
 from .fleet_index import FleetIndex, ServicePeers
 from .load_balancing import Candidate, choose, estimate_penalty_ms
 from .model import NodeEntry
 from .peer import Peer
 from .peer_host import PeerHost
+from .service_load import ServiceLoad
 from .zone_costs import ZoneCostsMs
 
 # Number of nodes compared for each call, in this node's zone and in other zones. The
--- a/primroseglade/sidecar/load_monitor.py
+++ b/primroseglade/sidecar/load_monitor.py
@@ -1,13 +1,14 @@
 """Collects the load of all services, for admission and for load balancing."""
 
 from ..observe.events import ADMISSION_LEVELS, Journal
-from .admission import Admission, ServiceLoad
+from .admission import Admission
 from .backend import Backend
 from .call_graph import CallGraph
 from .call_ratios import CallRatioEstimator
 from .fleet import Fleet, Survey
 from .load_balancing import estimate_penalty_ms
 from .policy_tracker import PolicyTracker
+from .service_load import ServiceLoad
 from .zone_costs import ZoneCosts
 
 # Interval between rebuilds of the call graph. Shorter intervals would gain nothing, as
--- a/tests/test_admission_levels.py
+++ b/tests/test_admission_levels.py
@@ -7,9 +7,10 @@
     Demand,
     simulate_workspace,
 )
-from primroseglade.sidecar.admission import Admission, ServiceLoad
+from primroseglade.sidecar.admission import Admission
 from primroseglade.sidecar.model import Tenant
 from primroseglade.sidecar.periodic_scheduler import TICK_SECONDS
+from primroseglade.sidecar.service_load import ServiceLoad
 
 from .rates import OneHolder
 
--- a/tests/test_running_calls.py
+++ b/tests/test_running_calls.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from primroseglade.sidecar.admission import ServiceLoad
 from primroseglade.sidecar.call_ratios import CallRatioEstimator
 from primroseglade.sidecar.running_calls import MAX_COUNTED_CALLS, RunningCalls
+from primroseglade.sidecar.service_load import ServiceLoad
 
 
 def test_overlapping_runs_of_two_routes_are_counted_apart():
--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, strategies as st
 
-from primroseglade.sidecar.admission import ServiceLoad
+from primroseglade.sidecar.service_load import ServiceLoad
 from primroseglade.sidecar.warm_up import (
     WARM_UP_MARGIN_SECONDS,
     WarmUp,
