--- a/primroseglade/stand_ins/mesh_backend.py
+++ b/primroseglade/stand_ins/mesh_backend.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from ..sidecar.http_client import ConnectionPool
 from ..sidecar.http_messages import render_status_line, Reply, Request
@@ -39,6 +39,13 @@
         cancelled: Number of requests that were cancelled while they ran.
         seen_headers: Headers of all requests, also of those refused as misdirected.
         answer: Function that builds the responses, or None for the usual ones.
+        fatal_target: Part of the target of requests under which the process ends;
+            empty for none.
+        make_calls: Coroutine function that makes the calls that a request needs before
+            it is answered, or None. The result is the status of the answer.
+        restart_seconds: Time from the end of the process to the next; None to stay
+            away.
+        ends: Number of times that the process has ended.
     """
 
     def __init__(
@@ -69,23 +76,54 @@
         self.cancelled = 0
         self.seen_headers: list[dict[str, str]] = []
         self.answer: Callable[[Request, dict[str, str]], Reply] | None = None
+        self.fatal_target = b""
+        self.make_calls: Callable[[Request, str], Awaitable[int]] | None = None
+        self.restart_seconds: float | None = 0.4
+        self.ends = 0
         self._sequence = 0
         self._control = ConnectionPool(control, 1.0)
+        self._listen_address = address
         self._server = HttpServer(address, self._handle)
+        self._ended = asyncio.Event()
 
     @property
     def _cold_ms(self) -> int:
         return int(max(0.0, self.cold_until - time.monotonic()) * 1000)
 
     async def run(self) -> None:
-        """Serve and report until cancelled."""
-        server = asyncio.create_task(self._server.run())
-        try:
-            while True:
-                await self.report_status()
-                await asyncio.sleep(REPORT_INTERVAL_SECONDS)
-        finally:
-            server.cancel()
+        """Serve and report until cancelled; start again after the process has ended."""
+        while True:
+            serving = asyncio.create_task(self._server.run())
+            reporting = asyncio.create_task(self._report_repeatedly())
+            try:
+                await self._ended.wait()
+            finally:
+                serving.cancel()
+                reporting.cancel()
+            if self.restart_seconds is None:
+                return
+            await asyncio.sleep(self.restart_seconds)
+            self._begin_lifetime()
+
+    def end(self) -> None:
+        """End the process as a crash does: all its connections are closed."""
+        if self._ended.is_set():
+            return
+        self.ends += 1
+        self._ended.set()
+        self._server.stop_accepting()
+        self._server.abort()
+
+    def _begin_lifetime(self) -> None:
+        self.start_time_ms += 1000
+        self._sequence = 0
+        self._ended = asyncio.Event()
+        self._server = HttpServer(self._listen_address, self._handle)
+
+    async def _report_repeatedly(self) -> None:
+        while True:
+            await self.report_status()
+            await asyncio.sleep(REPORT_INTERVAL_SECONDS)
 
     async def report_status(self, cold_ms: int | None = None) -> int:
         """Send a status report and return the response status, 0 for no response.
@@ -150,6 +188,14 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        if self.fatal_target and self.fatal_target in request.target:
+            self.end()
+            # Its connection is closed, which cancels it.
+            await asyncio.Event().wait()
+        if self.make_calls is not None:
+            status = await self.make_calls(request, request_id)
+            if status != 200:
+                return Reply(render_status_line(status), b"")
         if self.answer is not None:
             return self.answer(request, headers)
         return self.build_response(request_id, b"served by " + self.instance.encode())
--- /dev/null
+++ b/tests/test_mesh_ended_servers.py
@@ -0,0 +1,187 @@
+"""Requests under which backend servers end, and others that run beside them."""
+
+import asyncio
+from collections.abc import Sequence
+
+from primroseglade.sidecar.http_client import ExchangeError, Response
+
+from .mesh import (
+    build_configuration,
+    build_path,
+    get_header,
+    Mesh,
+    MeshInstance,
+    run_mesh,
+    send_request,
+)
+
+# The rule of the service: a request under which this many have ended goes to no more.
+MAX_ENDED_SERVERS = 3
+FATAL_TARGET = b"fatal"
+PATHS = (
+    build_path("front", "front", max_attempts=3),
+    build_path("deep", "deep", max_attempts=3),
+    build_path("once", "deep", kind="unsafe", max_attempts=3),
+    build_path("inner", "deep", public=True, max_attempts=3),
+)
+
+
+def build_mesh(deep_count: int = 4) -> Mesh:
+    """Return a mesh of two nodes of ``front`` and some of ``deep``, which can end."""
+    mesh = Mesh()
+    for service in ("front", "front", *["deep"] * deep_count):
+        mesh.add(service)
+    for instance in list_deep(mesh):
+        instance.backend.fatal_target = FATAL_TARGET
+    mesh.store.publish(build_configuration(1, *PATHS))
+    return mesh
+
+
+def list_deep(mesh: Mesh) -> list[MeshInstance]:
+    """Return the instances of the service ``deep``."""
+    return [i for i in mesh.instances if i.settings.service == "deep"]
+
+
+def count_ends(mesh: Mesh) -> int:
+    """Return how many processes of backend servers have ended."""
+    return sum(instance.backend.ends for instance in mesh.instances)
+
+
+async def attempt(
+    mesh: Mesh, count: int, path: str = "/deep/fatal", method: str = "GET"
+) -> list[Response]:
+    """Send the same request to the nodes of ``front`` in turn, with a new ID each."""
+    answers = []
+    for number in range(count):
+        entry = mesh.instances[number % 2]
+        answers.append(
+            await send_request(entry, path, f"f{number}", method=method, body=b"b")
+        )
+        await asyncio.sleep(0.3)
+    return answers
+
+
+async def count_served(mesh: Mesh, count: int = 60) -> int:
+    """Return how many requests of others are served."""
+    answers = await asyncio.gather(
+        *(
+            send_request(mesh.instances[number % 2], f"/deep/{number}", f"o{number}")
+            for number in range(count)
+        ),
+        return_exceptions=True,
+    )
+    return sum(isinstance(a, Response) and a.status == 200 for a in answers)
+
+
+def check_last_refused(answers: Sequence[Response]) -> None:
+    """Check that the last answer says "not run", and invites nobody for a while."""
+    assert answers[-1].status == 503
+    assert float(get_header(answers[-1], "Retry-After")) > 60
+
+
+async def test_idempotent_request_ends_no_more_than_three_servers():
+    """Guards against retries, of nodes and of clients, that end one backend server
+    after the other: each attempt of a client has an ID of its own.
+    """
+    async with run_mesh(build_mesh()) as mesh:
+        answers = await attempt(mesh, 8)
+        assert count_ends(mesh) <= MAX_ENDED_SERVERS
+        check_last_refused(answers)
+        assert await count_served(mesh) == 60
+
+
+async def test_request_does_not_end_a_whole_service():
+    """Guards against a service that is gone: its backend servers do not come back."""
+    mesh = build_mesh(8)
+    for instance in list_deep(mesh):
+        instance.backend.restart_seconds = None
+    async with run_mesh(mesh):
+        answers = await attempt(mesh, 8)
+        assert count_ends(mesh) <= MAX_ENDED_SERVERS
+        check_last_refused(answers)
+        assert await count_served(mesh) == 60
+
+
+async def test_request_that_runs_once_ends_no_more_than_three_servers():
+    """Guards against clients that send a request again that must not run twice."""
+    async with run_mesh(build_mesh()) as mesh:
+        answers = await attempt(mesh, 8, "/once/fatal", "POST")
+        assert count_ends(mesh) <= MAX_ENDED_SERVERS
+        check_last_refused(answers)
+        assert await count_served(mesh) == 60
+
+
+async def test_nested_call_ends_no_more_than_three_servers():
+    """Guards against attempts that multiply over hops: a call that a backend server
+    makes for a request ends others, and the request is retried.
+    """
+    mesh = build_mesh()
+    for instance in mesh.instances[:2]:
+
+        async def look_up(request, request_id: str, instance=instance) -> int:
+            if FATAL_TARGET not in request.target:
+                return 200
+            answer = await send_request(
+                instance, "/inner/fatal", f"{request_id}.1", key=None
+            )
+            return 200 if answer.status == 200 else 500
+
+        instance.backend.make_calls = look_up
+    async with run_mesh(mesh):
+        await attempt(mesh, 5, "/front/fatal")
+        assert count_ends(mesh) <= MAX_ENDED_SERVERS
+        assert await count_served(mesh) == 60
+
+
+async def test_callers_who_come_later_end_no_further_servers():
+    """Guards against callers of several nodes with the same request: six send it
+    before anybody knows, twelve two seconds later.
+    """
+    async with run_mesh(build_mesh(8)) as mesh:
+
+        async def send_all(count: int, prefix: str) -> None:
+            calls = [
+                send_request(mesh.instances[n % 2], "/deep/fatal", f"{prefix}{n}")
+                for n in range(count)
+            ]
+            for result in await asyncio.gather(*calls, return_exceptions=True):
+                assert isinstance(result, Response | ExchangeError)
+
+        await send_all(6, "a")
+        await asyncio.sleep(2.0)
+        ended_at_first = count_ends(mesh)
+        # One that each of them ended, and what one of them had left.
+        assert ended_at_first <= 6 + MAX_ENDED_SERVERS - 1
+        await send_all(12, "b")
+        assert count_ends(mesh) <= max(ended_at_first, MAX_ENDED_SERVERS)
+
+
+async def test_failure_of_a_third_of_a_service_blocks_no_popular_request():
+    """Guards against blaming a request that all send for servers that end for other
+    reasons: a third of them, twice.
+    """
+    mesh = build_mesh(9)
+    for instance in list_deep(mesh):
+        instance.backend.processing_seconds = 0.03
+    async with run_mesh(mesh):
+        statuses: list[int] = []
+
+        async def send_popular(number: int) -> None:
+            for attempt_number in range(25):
+                answer = await send_request(
+                    mesh.instances[number % 2],
+                    "/deep/popular",
+                    f"p{number}-{attempt_number}",
+                )
+                statuses.append(answer.status)
+
+        callers = [asyncio.create_task(send_popular(n)) for n in range(40)]
+        for _ in range(2):
+            await asyncio.sleep(0.3)
+            for instance in list_deep(mesh)[:3]:
+                instance.backend.end()
+            await asyncio.sleep(0.6)
+        await asyncio.gather(*callers)
+        assert count_ends(mesh) == 6
+        assert statuses.count(200) == len(statuses) == 1000
+        assert await count_served(mesh) == 60
