--- a/primroseglade/emulator/mesh.py
+++ b/primroseglade/emulator/mesh.py
@@ -310,7 +310,7 @@
                 known = other.node.fleet._peers[entry.name]
                 known.entry = entry
                 known.state.sequence = 0
-        server.on_crash = node.backend.assume_cold
+        server.on_crash = node.backend.cold.assume
         server.on_start = lambda: self.spawn(self._report(mesh_node))
         node.policies._apply_record(b"", 0.0, 0.0, "emulator")
         mesh_node.task = self.spawn(self._run_node(mesh_node))
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -7,20 +7,18 @@
 
 from ..observe.events import (
     BACKEND_ANNOUNCED,
-    BACKEND_COLD,
     BACKEND_DRAINING,
     BACKEND_REPORT_REFUSED,
     BACKEND_UNAVAILABLE,
     Journal,
-    VALUE_IGNORED,
 )
 from ..verdicts import may_have_run, not_run, Reason, Refusal
 from .backend_dialect import BackendDialect, ParsedAnswerHead, ServedAnswer
 from .backend_queue import BackendQueue
 from .call_ratios import CallRatioEstimator
+from .cold_tracker import ColdTracker
 from .failure_ratio import FailureRatio
 from .frames import Call
-from .health_check import HealthAnswer
 from .http_client import ConnectionPool, ExchangeError, Response
 from .http_messages import MIN_FAILURE_STATUS
 from .load_balancing import Candidate
@@ -101,7 +99,6 @@
         self._journal = journal
         self._broadcast_state = broadcast_state
         self._persist_drain = persist_drain
-        self._request_health_check = request_health_check
         self._report: StatusReport | None = None
         # Start time in ms of the drained incarnation, by instance ID; 0 until a drain
         # request or a report names it.
@@ -118,8 +115,16 @@
         self._enabled = False
         self._evacuated = False
         self._failure_ratio = FailureRatio(time.monotonic)
-        self.pool = ConnectionPool(address, CONNECT_TIMEOUT_SECONDS, self.assume_cold)
         self.warm_up = warm_up
+        self.cold = ColdTracker(
+            service,
+            warm_up,
+            journal,
+            lambda: self.instance,
+            self._handle_cold_change,
+            request_health_check,
+        )
+        self.pool = ConnectionPool(address, CONNECT_TIMEOUT_SECONDS, self.cold.assume)
         self.request_limit = request_limit
         self._work_pace = WorkPace()
         self.statements = StatementRecorder(
@@ -237,9 +242,9 @@
             return
         self._enabled = True
         if self.warm_up.start_rate:
-            self._log_cold()
+            self.cold.log()
         else:
-            self.assume_cold()
+            self.cold.assume()
 
     def set_evacuated(self, evacuated: bool) -> None:
         """Accept no calls while the zone is evacuated, and few calls at first after it.
@@ -253,7 +258,7 @@
         if evacuated:
             self.queue.refuse_queued_calls(Reason.ZONE_EVACUATED, EVACUATED_DETAIL)
         else:
-            self.assume_cold()
+            self.cold.assume()
 
     def stop(self) -> None:
         """Accept no further calls, because this node is stopping."""
@@ -312,8 +317,8 @@
             self._unavailable = False
             if last_report is None or (was_unavailable and not is_new_incarnation):
                 # The report may be older than a restart under the same id.
-                self.assume_cold()
-        self._record_cold_time(report)
+                self.cold.assume()
+        self.cold.record_report(report.cold_remaining_seconds)
         return True
 
     def _match_drain(self, report: StatusReport) -> bool:
@@ -418,63 +423,6 @@
         self.request_limit.reset()
         self.queue.resize(report.slots)
 
-    def assume_cold(self) -> None:
-        """Treat the backend server as cold until it says whether it is.
-
-        Without a limit on starts at cold backend servers this has no effect. If it is
-        known to be cold already, nothing changes.
-        """
-        if not self.instance or self.warm_up.start_rate:
-            return
-        self.warm_up.assume_cold()
-        if self.warm_up.is_assumed:
-            self._log_cold()
-            self._request_health_check()
-
-    def record_health(self, answer: HealthAnswer) -> None:
-        """Record what a health check of the backend server shows."""
-        if answer.instance != self.instance:
-            return
-        self.warm_up.record_cold_time(self._limit_cold_time(answer.cold_seconds))
-        self._announce_cold_time()
-
-    def _record_cold_time(self, report: StatusReport) -> None:
-        previous_rate = self.warm_up.start_rate
-        self.warm_up.record_report(self._limit_cold_time(report.cold_remaining_seconds))
-        if self.warm_up.start_rate != previous_rate:
-            self._announce_cold_time()
-
-    def _announce_cold_time(self) -> None:
-        """Tell the other nodes that the backend server is cold, or no longer is."""
-        if self.warm_up.start_rate:
-            self._log_cold()
-        self.queue.start_queued_calls()
-        self._broadcast_state()
-
-    def _limit_cold_time(self, seconds: float) -> float:
-        """Return a cold time that is at most what the operator states as the longest.
-
-        A longer one is logged; it would keep calls from the backend server for good.
-        """
-        max_seconds = self.warm_up.max_seconds
-        if max_seconds is None or seconds <= max_seconds:
-            return seconds
-        self._journal.emit(
-            VALUE_IGNORED,
-            service=self._service,
-            reason=f"cold for {seconds:g} s, at most {max_seconds:g} s are possible",
-        )
-        return max_seconds
-
-    def _log_cold(self) -> None:
-        self._journal.emit(
-            BACKEND_COLD,
-            backend=self._report and self._report.instance,
-            seconds=round(self.warm_up.remaining_seconds, 3),
-            calls_per_second=self.warm_up.start_rate,
-            assumed=self.warm_up.is_assumed,
-        )
-
     def count_blocked(self) -> int:
         """Return the number of calls in flight that wait for calls of their own."""
         return self._running_calls.count_blocked(self.queue.reclaimed_slots)
@@ -506,6 +454,10 @@
         elif instance == self.instance and start_time_ms == self.start_time_ms:
             self.statements.record(statements, sent_at)
 
+    def _handle_cold_change(self) -> None:
+        self.queue.start_queued_calls()
+        self._broadcast_state()
+
     def _handle_limit_change(self) -> None:
         self.queue.start_queued_calls()
         self._broadcast_state()
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -157,7 +157,7 @@
             lambda: self.policies.get_health_path(settings.service),
             lambda: bool(self.backend.instance) and self.backend.warm_up.is_assumed,
             self.backend.queue.record_start,
-            self.backend.record_health,
+            self.backend.cold.record_health,
         )
         self.fleet = Fleet(self, self._supervisor, journal, self._rng)
         self._introduction = Introduction(
--- a/tests/test_mesh_warm_up.py
+++ b/tests/test_mesh_warm_up.py
@@ -169,7 +169,7 @@
     mesh = build_mesh(1)
     async with run_mesh(mesh):
         instance = mesh.instances[1]
-        instance.node.backend.assume_cold()
+        instance.node.backend.cold.assume()
         await asyncio.sleep(0.1)
         assert instance.node.backend.warm_up.remaining_seconds == 0
         assert set(await send_calls(mesh.instances[0], 60, 0.3)) == {200}
