Log under which calls a backend server's process ends

Nothing told an ended process from a lost connection, so that no log distinguished the hypotheses. A node that loses a call now probes the address: refused connections, or reports of another process, show the end. Event 329 has the call's ID and a hash of its content, a counter goes with it. A drained process that ends counts as planned. No decision changes.

--- a/primroseglade/emulator/mesh.py
+++ b/primroseglade/emulator/mesh.py
@@ -105,6 +105,10 @@
         """Return what an emulated connection sends."""
         return BackendRequest(call, remaining)
 
+    def get_identity(self, call: Call) -> bytes:
+        """Return the call's ID: emulated requests differ from each other."""
+        return call.request_id
+
     def read_answer(self, answer: Response) -> ParsedAnswerHead:
         """Return the head of an answer, which is always signed."""
         head = render_status_line(answer.status)
@@ -167,6 +171,10 @@
     def close_idle(self) -> None:
         """Close all idle connections."""
 
+    async def is_refused(self) -> bool:
+        """Return whether connections are refused: never, all ends are known."""
+        return False
+
 
 class EmulatedStore:
     """A store that holds nothing; nodes are introduced and configured by the mesh."""
--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -239,6 +239,13 @@
     "How long work takes there now, as a multiple of the average, as it states in its "
     "answers. While it is slow, calls go to others.",
 )
+BACKEND_ENDED = _define(
+    329,
+    "warning",
+    "backend server ended under a call",
+    "Its process ended while it ran the call of the field `request`; all calls that it "
+    "ran are logged. `suspect` is the hash of the request's content.",
+)
 PEER_EJECTED = _define(
     330,
     "info",
--- a/primroseglade/platform/dialect.py
+++ b/primroseglade/platform/dialect.py
@@ -125,6 +125,15 @@
             call.body,
         )
 
+    def get_identity(self, call: Call) -> bytes:
+        """Return the request line and the host of a call.
+
+        Other headers may differ between attempts. The workspace is known otherwise.
+        """
+        line, *headers = call.head.split(b"\r\n")
+        hosts = [h for h in headers if h[: len(HOST) + 1].lower() == HOST + b":"]
+        return b"\r\n".join([line, *hosts])
+
     def read_answer(self, answer: Response) -> ParsedAnswerHead:
         """Return the fields of a backend server's response, and the head to forward."""
         request_id = b""
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -212,6 +212,17 @@
         """Start time of the reported incarnation in ms, 0 before the first report."""
         return self._report.start_time_ms if self._report else 0
 
+    @property
+    def lifetime(self) -> tuple[str, int]:
+        """Instance ID and start time of the last reported process."""
+        report = self._report
+        return (report.instance, report.start_time_ms) if report else ("", 0)
+
+    @property
+    def draining(self) -> bool:
+        """Whether the backend server is about to end as planned."""
+        return self._draining
+
     def build_candidate(self, node: str) -> Candidate | None:
         """Return a load-balancing candidate, None if the server accepts no calls.
 
--- a/primroseglade/sidecar/backend_dialect.py
+++ b/primroseglade/sidecar/backend_dialect.py
@@ -46,6 +46,9 @@
             remaining: Seconds until the call's deadline.
         """
 
+    def get_identity(self, call: Call) -> bytes:
+        """Return the parts of a call's head that all attempts of a request share."""
+
     def read_answer(self, answer: Response) -> ParsedAnswerHead:
         """Parse a backend server's answer."""
 
--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -11,6 +11,7 @@
 from .call_graph import CallGraph
 from .fleet import Fleet
 from .frames import Call
+from .guarded_backend import GuardedBackend
 from .http_messages import MIN_FAILURE_STATUS
 from .load_balancing import (
     Candidate,
@@ -46,6 +47,7 @@
     Args:
         node: This node's name.
         backend: The local backend server.
+        guarded_backend: Runs calls on it.
         fleet: The other nodes.
         retry_budget: Limits retries.
         graph: Provides the downstream calls that a retry makes again.
@@ -60,6 +62,7 @@
         self,
         node: str,
         backend: Backend,
+        guarded_backend: GuardedBackend,
         fleet: Fleet,
         retry_budget: RetryBudget,
         graph: CallGraph,
@@ -71,6 +74,7 @@
     ):
         self._node = node
         self._backend = backend
+        self._guarded_backend = guarded_backend
         self._fleet = fleet
         self._retry_budget = retry_budget
         self._graph = graph
@@ -269,4 +273,4 @@
         remaining = message.remaining_ms / 1000
         # No timer here: the sender cancels the call at its deadline. A timer for each
         # call would cost half as much as the other work on the call.
-        return await self._backend.serve(message, remaining)
+        return await self._guarded_backend.serve(message, remaining)
--- a/primroseglade/sidecar/http_client.py
+++ b/primroseglade/sidecar/http_client.py
@@ -38,6 +38,12 @@
 ALL_LOST_WITHIN_SECONDS = 0.05
 
 
+# A process that is ending may accept connections for a moment before it closes them.
+MAX_PROBES = 3
+PROBE_TIMEOUT_SECONDS = 0.1
+PROBE_HOLD_SECONDS = 0.01
+
+
 class ExchangeError(Exception):
     """A request that got no complete response.
 
@@ -344,6 +350,23 @@
         else:
             connection.close()
 
+    async def is_refused(self) -> bool:
+        """Return whether connections are refused: no process listens there."""
+        for _ in range(MAX_PROBES):
+            try:
+                async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                    connection = await self._dial()
+            except TimeoutError:
+                return False
+            except ExchangeError as error:
+                return error.refused
+            await asyncio.sleep(PROBE_HOLD_SECONDS)
+            is_open = connection.reusable
+            self.release(connection)
+            if is_open:
+                return False
+        return False
+
     def close_idle(self) -> None:
         """Close all idle connections."""
         while self._idle:
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -30,6 +30,7 @@
 from .evacuations import Evacuations
 from .fleet import Fleet
 from .frames import PolicyAnswer, TokenGrant, TokenRequest
+from .guarded_backend import GuardedBackend
 from .health_check import HealthChecker, HealthDialect
 from .http_server import build_local_server, HttpServer
 from .introduction import Introduction
@@ -200,9 +201,11 @@
             settings.retry_ratio, settings.retry_fixed, settings.retry_window
         )
         self._zone_rules = ZoneRules(settings.zones, self.evacuations, journal)
+        self.guarded_backend = GuardedBackend(self.backend, dialect, journal)
         self.dispatcher = Dispatcher(
             settings.name,
             self.backend,
+            self.guarded_backend,
             self.fleet,
             self.retry_budget,
             self.graph,
--- a/primroseglade/sidecar/node_metrics.py
+++ b/primroseglade/sidecar/node_metrics.py
@@ -138,6 +138,11 @@
             "Requests sent to the backend server.",
             value=node.backend.request_limit.sent_count,
         )
+        yield core.CounterMetricFamily(
+            METRIC_PREFIX + "ended_calls",
+            "Calls under which the process of the backend server ended.",
+            value=node.guarded_backend.ended_calls,
+        )
         cross_zone_bytes = core.CounterMetricFamily(
             METRIC_PREFIX + "zone_bytes",
             "Bytes sent to other availability zones.",
