List, release and explain blocked requests

Operators could not see which request is blocked, why, or let it run again once the service is mended. GET /suspects and POST /suspects/HASH/release at the metrics address of any node, with commands for both; a release is told to all nodes like a clearing. explain names the backend servers that ended under a request's content, and tells an ended process from a lost connection.

--- a/primroseglade/cli/commands.py
+++ b/primroseglade/cli/commands.py
@@ -4,7 +4,7 @@
 
 from ..environment import Environment
 from ..exits import ExitStatus
-from . import config, demo, explain, key, load, node, stand_in  # noqa: F401
+from . import config, demo, explain, key, load, node, stand_in, suspects  # noqa: F401
 from .registry import find_command
 
 
--- a/primroseglade/cli/definition.py
+++ b/primroseglade/cli/definition.py
@@ -47,6 +47,12 @@
     metavar="IP:PORT",
     help="operator address of any node",
 )
+METRICS_NODE_OPTION = Argument(
+    "--node",
+    required=True,
+    metavar="IP:PORT",
+    help="metrics address of any node on the users' platform",
+)
 TOKEN_OPTION = Argument(
     "--token", default="", help="operator token, if nodes require one"
 )
@@ -72,6 +78,7 @@
 COMMAND_GROUPS = {
     "config": "check, publish and track the configuration document",
     "stand-in": "run small stand-ins for external systems",
+    "suspects": "requests under which backend servers have ended",
 }
 
 COMMANDS = (
@@ -94,6 +101,18 @@
         Argument("logs", nargs="+", metavar="LOGFILE", help="log files of all nodes"),
         JSON_OPTION,
     ),
+    Command(
+        "suspects list",
+        "print the requests under which backend servers have ended",
+        METRICS_NODE_OPTION,
+        JSON_OPTION,
+    ),
+    Command(
+        "suspects release",
+        "let a blocked request run again, at all nodes",
+        Argument("hash", metavar="HASH", help="hash of the request, as in the logs"),
+        METRICS_NODE_OPTION,
+    ),
     Command(
         "config check",
         "check a document without publishing it",
--- a/primroseglade/observe/explain.py
+++ b/primroseglade/observe/explain.py
@@ -12,6 +12,7 @@
 from .events import (
     ADMISSION_LEVELS,
     BACKEND_COLD,
+    BACKEND_ENDED,
     BACKEND_LIMIT,
     CALL_ANSWERED,
     CALL_FAILED,
@@ -35,6 +36,7 @@
 QUEUE_DETAILS = ("queue is full", "cannot meet its deadline", "no slot in time")
 # Events that name a request, in the order in which they occur.
 EVENT_ORDER = (
+    BACKEND_ENDED.number,
     CALL_RETRIED.number,
     CALL_FAILED.number,
     CALL_REFUSED.number,
@@ -241,6 +243,30 @@
     return limit_lines[-1:], f"{text}. The request did not run."
 
 
+@_finds_cause_of(CALL_REFUSED.number, "request-blocked", "request-suspect")
+def _explain_block(last: LogLine, nearby: list[LogLine], lines: list[LogLine]) -> Cause:
+    detail = str(last.get("detail"))
+    ended_lines = [
+        line
+        for line in lines
+        if line.number == BACKEND_ENDED.number and str(line.get("suspect")) in detail
+    ]
+    outcome = "may have run" if last.get("verdict") != "not run" else "did not run"
+    text = f"The request was refused because of its content: {detail}"
+    if ended_lines:
+        text += f"; {_describe_ends(ended_lines)}"
+    return ended_lines, f"{text}. The request {outcome}."
+
+
+def _describe_ends(ended_lines: list[LogLine]) -> str:
+    """Return under which requests backend servers ended, and beside which nodes."""
+    ends = [
+        f"the one beside {line.instance} under {line.get('request')}"
+        for line in sorted(ended_lines, key=lambda line: line.time)
+    ]
+    return f"backend servers ended: {', '.join(ends)}"
+
+
 @_finds_cause_of(CALL_REFUSED.number, "zone-evacuated", "no-backend-server")
 def _explain_evacuation(
     last: LogLine, nearby: list[LogLine], lines: list[LogLine]
@@ -307,9 +333,17 @@
     CALL_REFUSED.number, "connection-lost", "deadline-exceeded", "answer-broken"
 )
 def _explain_loss(last: LogLine, nearby: list[LogLine], lines: list[LogLine]) -> Cause:
+    ended_lines = [
+        line
+        for line in lines
+        if line.number == BACKEND_ENDED.number
+        and line.get("request") == last.get("request")
+    ]
     lost_lines = [line for line in nearby if line.number == PEER_LOST.number]
     peers = ", ".join(sorted({str(line.get("peer")) for line in lost_lines}))
     text = f"No complete answer arrived: {last.get('detail')}"
+    if ended_lines:
+        text += f"; {_describe_ends(ended_lines)}"
     if peers:
         text += f"; streams to {peers} were lost at that time"
     outcome = "may have run" if last.get("verdict") != "not run" else "did not run"
--- a/primroseglade/operator_client.py
+++ b/primroseglade/operator_client.py
@@ -44,8 +44,21 @@
             UnreachableError: The node did not respond with JSON.
             RefusedError: The node responded with an error, such as a wrong token.
         """
+        return await self._send("GET", path)
+
+    async def post(self, path: str) -> Any:
+        """Send a POST without a body, and return the decoded JSON of the answer.
+
+        Raises:
+            UnreachableError: The node did not respond with JSON.
+            RefusedError: The node responded with an error.
+        """
+        return await self._send("POST", path)
+
+    async def _send(self, method: str, path: str) -> Any:
+        url = f"http://{self._address}{path}"
         try:
-            async with self._session.get(f"http://{self._address}{path}") as response:
+            async with self._session.request(method, url) as response:
                 value = await response.json(content_type=None)
                 status = response.status
         except (TimeoutError, aiohttp.ClientError, ValueError) as error:
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -42,9 +42,10 @@
     NodeState,
     Policy,
 )
-from .node_metrics import build_metrics_handler, MAX_REPORTED_AGE_SECONDS, NodeMetrics
+from .node_metrics import MAX_REPORTED_AGE_SECONDS, NodeMetrics
 from .node_settings import NodeSettings
 from .node_store import NodeStore
+from .operator_requests import build_operator_handler
 from .peer import Peer
 from .peer_monitor import PeerMonitor, READER_POLL_SECONDS
 from .peer_server import PeerServer
@@ -291,7 +292,7 @@
             settings.control, build_control_handler(self)
         )
         self._metrics_server = build_local_server(
-            settings.metrics, build_metrics_handler(self)
+            settings.metrics, build_operator_handler(self)
         )
 
     @property
--- a/primroseglade/sidecar/node_metrics.py
+++ b/primroseglade/sidecar/node_metrics.py
@@ -11,7 +11,6 @@
 from typing import Any, TYPE_CHECKING
 
 from .bucket_snapshot import build_snapshots
-from .http_messages import render_status_line, Reply, Request
 from .suspect_requests import Standing
 
 if TYPE_CHECKING:
@@ -298,13 +297,3 @@
         count += bucket_count
         buckets.append((upper_bound, float(count)))
     return buckets
-
-
-def build_metrics_handler(node: "SidecarNode") -> Any:
-    """Return the handler of metrics requests."""
-
-    async def handle(request: Request) -> Reply:
-        head = render_status_line(200) + b"Content-Type: text/plain; version=0.0.4\r\n"
-        return Reply(head, node.node_metrics.render(node))
-
-    return handle
--- a/primroseglade/sidecar/trial_gate.py
+++ b/primroseglade/sidecar/trial_gate.py
@@ -2,7 +2,7 @@
 
 from ..verdicts import not_run, Reason
 from .suspect_requests import Standing
-from .suspect_tracker import SuspectTracker
+from .suspect_tracker import format_request, SuspectTracker
 
 # A call waits at most this long, or this fraction of the time until its deadline.
 MAX_WAIT_SECONDS = 1.0
@@ -58,8 +58,8 @@
             wait = await self._tracker.wait_for_change(request, wait)
             if wait <= 0:
                 detail = (
-                    "backend servers ended under the same request, and one other call "
-                    "of it runs or has to run first"
+                    f"backend servers ended under the same request "
+                    f"({format_request(request)}), and another call runs first"
                 )
                 raise not_run(Reason.REQUEST_SUSPECT, detail)
 
--- a/primroseglade/stand_ins/mesh_backend.py
+++ b/primroseglade/stand_ins/mesh_backend.py
@@ -114,6 +114,10 @@
         self._server.stop_accepting()
         self._server.abort()
 
+    def reset_connections(self) -> None:
+        """Close all connections; the process runs on."""
+        self._server.abort()
+
     def _begin_lifetime(self) -> None:
         self.start_time_ms += 1000
         self._sequence = 0
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -220,3 +220,45 @@
     assert status == ExitStatus.SUCCESS
     assert "refused by the queue of a backend server: queue is full" in output
     assert "beside node-7" in output
+
+
+def test_blocked_request_names_the_ends_under_its_content(tmp_path):
+    """Guards against a block that operators cannot trace: the backend servers ended
+    under other IDs, at other nodes.
+    """
+    ended = [
+        {
+            "time": 99.0 + number,
+            "event": 329,
+            "level": "warning",
+            "text": "backend server ended under a call",
+            "instance": f"node-{number}",
+            "request": f"r{number}",
+            "suspect": "00ab",
+        }
+        for number in (7, 8)
+    ]
+    refused = build_refused_line(
+        "request-blocked",
+        detail="2 backend servers ended under the same request (00ab)",
+    )
+    status, output, _ = run("r1", write_log(tmp_path / "a", refused, *ended))
+    assert status is ExitStatus.SUCCESS
+    assert "node-7 under r7, the one beside node-8 under r8" in output
+    assert output.strip().endswith("The request did not run.")
+
+
+def test_lost_request_names_the_server_that_ended_under_it(tmp_path):
+    """Guards against taking an ended process for a bad link."""
+    ended = {
+        "time": 99.0,
+        "event": 329,
+        "level": "warning",
+        "text": "backend server ended under a call",
+        "instance": "node-7",
+        "request": "r1",
+        "suspect": "00ab",
+    }
+    refused = build_refused_line("connection-lost", verdict="may have run")
+    _, output, _ = run("r1", write_log(tmp_path / "a", refused, ended))
+    assert "backend servers ended: the one beside node-7 under r1" in output
--- a/tests/test_mesh_ended_servers.py
+++ b/tests/test_mesh_ended_servers.py
@@ -3,6 +3,10 @@
 import asyncio
 from collections.abc import Sequence
 
+import pytest
+
+from primroseglade.errors import RefusedError
+from primroseglade.operator_client import OperatorClient
 from primroseglade.sidecar.http_client import ExchangeError, Response
 
 from .mesh import (
@@ -61,6 +65,12 @@
     return answers
 
 
+def list_suspects(mesh: Mesh) -> set[int]:
+    """Return the requests that any node suspects."""
+    nodes = [instance.node for instance in mesh.instances]
+    return {r for node in nodes for r in node.suspects.suspects.list_suspects()}
+
+
 async def count_served(mesh: Mesh, count: int = 60) -> int:
     """Return how many requests of others are served."""
     answers = await asyncio.gather(
@@ -184,3 +194,95 @@
         assert count_ends(mesh) == 6
         assert statuses.count(200) == len(statuses) == 1000
         assert await count_served(mesh) == 60
+
+
+async def test_reset_connections_make_no_request_suspect():
+    """Guards against blaming a request for a connection that was lost: the process
+    runs on, and so do those that are paused or answer nothing.
+    """
+    mesh = build_mesh(2)
+    for instance in list_deep(mesh):
+        instance.backend.processing_seconds = 0.05
+    async with run_mesh(mesh):
+        for number in range(4):
+            calls = [
+                asyncio.create_task(
+                    send_request(mesh.instances[0], "/once/a", f"c{number}-{n}")
+                )
+                for n in range(4)
+            ]
+            await asyncio.sleep(0.03)
+            for instance in list_deep(mesh):
+                instance.backend.reset_connections()
+            await asyncio.gather(*calls)
+        await asyncio.sleep(0.5)
+        assert list_suspects(mesh) == set()
+        assert await count_served(mesh) == 60
+
+
+async def test_planned_end_makes_no_request_suspect():
+    """Guards against blaming what a drained backend server still runs when it ends."""
+    mesh = build_mesh(2)
+    async with run_mesh(mesh):
+        leaving = list_deep(mesh)[0]
+        leaving.backend.processing_seconds = 1.0
+        calls = [
+            asyncio.create_task(send_request(leaving, "/deep/a", f"c{n}"))
+            for n in range(6)
+        ]
+        await asyncio.sleep(0.1)
+        leaving.backend.state = "draining"
+        await leaving.backend.report_status()
+        leaving.backend.end()
+        await asyncio.gather(*calls)
+        assert list_suspects(mesh) == set()
+
+
+async def test_restarted_nodes_still_refuse_a_blocked_request():
+    """Guards against a restart that forgets a block, at the entry and beside the
+    backend servers.
+    """
+    async with run_mesh(build_mesh()) as mesh:
+        await attempt(mesh, 2)
+        for instance in mesh.instances:
+            await instance.kill_node()
+            instance.restart_node(first_start=False)
+            await mesh.wait_until_connected()
+        answers = await attempt(mesh, 4)
+        assert count_ends(mesh) <= MAX_ENDED_SERVERS
+        check_last_refused(answers)
+
+
+async def test_operator_releases_a_request_at_all_nodes():
+    """Guards against a block that outlasts the mended service."""
+    async with run_mesh(build_mesh()) as mesh:
+        await attempt(mesh, 3)
+        for instance in list_deep(mesh):
+            instance.backend.fatal_target = b""
+        entry, other = mesh.instances[:2]
+        async with OperatorClient(entry.settings.metrics) as client:
+            (suspect,) = await client.get("/suspects")
+            assert (suspect["standing"], suspect["ended_servers"]) == ("blocked", 3)
+            await client.post(f"/suspects/{suspect['request']}/release")
+            with pytest.raises(RefusedError):
+                await client.post("/suspects/12/release")
+        await asyncio.sleep(0.1)
+        assert (await send_request(other, "/deep/fatal", "again")).status == 200
+
+
+async def test_workspace_cannot_block_the_requests_of_another():
+    """Guards against callers who end servers to have others' requests refused."""
+    mesh = build_mesh()
+    configuration = build_configuration(2, *PATHS)
+    configuration["tenants"].append(
+        configuration["tenants"][0] | {"name": "south", "api_keys": ["key-3"]}
+    )
+    mesh.store.publish(configuration)
+    async with run_mesh(mesh):
+        await attempt(mesh, 3)
+        for instance in list_deep(mesh):
+            instance.backend.fatal_target = b""
+        entry = mesh.instances[0]
+        assert (await attempt(mesh, 1))[0].status == 503
+        answer = await send_request(entry, "/deep/fatal", "s", key="key-3", body=b"b")
+        assert answer.status == 200
