Soak: requests under which backend servers end

A fault of its own sends one request again and again, with new IDs, by turns through all machines, and from up to four callers at the same moment first; backend servers end 10 ms after it reaches them. Checked: at most three processes end, or one more than callers at one moment. Links to a backend server refuse connections while no process listens behind them, as without the proxy. Each process has one supervisor, so that overlapping restarts start one process, not two.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import json
+import os
 import random
 import signal
 import sys
@@ -18,6 +19,9 @@
 
 # Names the instance in answers, for the checks.
 INSTANCE_HEADER = "X-Soak-Instance"
+# In the target of a request under which the process ends.
+FATAL_MARK = b"fatal-"
+FATAL_SECONDS = 0.01
 PROCESSING_SECONDS_RANGE = (0.005, 0.06)
 # The machine is shared: work takes longer in some intervals of this length.
 SLOWDOWN_INTERVAL_SECONDS = 0.6
@@ -49,6 +53,9 @@
                 tenant=headers.get("x-primroseglade-tenant", ""),
                 key_seen="authorization" in headers,
             )
+        if FATAL_MARK in request.target:
+            await asyncio.sleep(FATAL_SECONDS)
+            os._exit(1)
         slowdown = self._get_slowdown()
         self.processing_seconds = random.uniform(*PROCESSING_SECONDS_RANGE) * slowdown
         self.load = (
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -21,6 +21,8 @@
 LIMIT_SLACK = 5
 # A changed limit is known at the latest this long after it was stated.
 LIMIT_CHANGE_SECONDS = 0.5
+# A request under which this many backend servers have ended is sent to no further one.
+MAX_ENDED_SERVERS = 3
 # A response with one of these statuses guarantees that the request was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
@@ -83,6 +85,25 @@
         self.started_at = started_at
 
 
+class FatalRequest:
+    """A request under which backend servers end, sent again and again.
+
+    Args:
+        at_once: Number of callers that send it at the same moment first.
+        key: API key of the callers.
+
+    Attributes:
+        request_ids: IDs of all attempts.
+    """
+
+    __slots__ = ("at_once", "key", "request_ids")
+
+    def __init__(self, at_once: int, key: str):
+        self.at_once = at_once
+        self.key = key
+        self.request_ids: list[str] = []
+
+
 class Record:
     """Everything that callers and backend servers observed in one run."""
 
@@ -99,6 +120,8 @@
         self.node_disturbed_at: dict[int, list[float]] = {}
         # Times and values of the limits that instances stated; 0 for none.
         self.stated_limits: dict[str, list[tuple[float, float]]] = {}
+        # By target.
+        self.fatal_requests: dict[str, FatalRequest] = {}
 
 
 def find_violations(record: Record) -> list[str]:
@@ -117,9 +140,30 @@
     ]
     for instance, changes in record.stated_limits.items():
         violations += _check_limit(record, instance, changes)
+    for target, fatal_request in record.fatal_requests.items():
+        violations += _check_fatal_request(record, target, fatal_request)
     return violations
 
 
+def _check_fatal_request(
+    record: Record, target: str, fatal_request: FatalRequest
+) -> list[str]:
+    """Return a violation if too many backend servers ended under one request.
+
+    Those that end at the same moment may have another cause: one more trial decides.
+    """
+    ended_instances = {
+        execution.instance
+        for request_id in fatal_request.request_ids
+        for execution in record.executions.get(request_id, ())
+    }
+    at_once = fatal_request.at_once
+    allowed = MAX_ENDED_SERVERS if at_once < MAX_ENDED_SERVERS else at_once + 1
+    if len(ended_instances) <= allowed:
+        return []
+    return [f"{target} ended {len(ended_instances)} backend servers; allowed {allowed}"]
+
+
 def _check_limit(
     record: Record, instance: str, changes: list[tuple[float, float]]
 ) -> list[str]:
--- a/soak/machines.py
+++ b/soak/machines.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from collections.abc import Awaitable, Callable
 
 from primroseglade.addresses import join_address
 
@@ -63,6 +64,7 @@
         self._node: asyncio.subprocess.Process | None = None
         self._backend: asyncio.subprocess.Process | None = None
         self._reader_task: asyncio.Task[None] | None = None
+        self._supervisors: set[asyncio.Task[None]] = set()
 
     def address(self, port: int) -> str:
         """Return ``IP:PORT`` for a port of this machine."""
@@ -90,6 +92,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self._supervise(self._node, self.start_node)
 
     async def start_backend(self) -> None:
         """Start the backend server under a new instance id."""
@@ -111,6 +114,7 @@
             stdout=asyncio.subprocess.PIPE,
         )
         self._reader_task = asyncio.create_task(self._read_events(self._backend))
+        self._supervise(self._backend, self.start_backend)
 
     async def pause_node(self, seconds: float) -> None:
         """Suspend the node's process for some seconds (SIGSTOP)."""
@@ -122,11 +126,11 @@
         self._record_disturbance()
 
     async def kill_node(self) -> None:
-        """Kill the node and restart it."""
+        """Kill the node, which is then restarted."""
         await self._restart_node(signal.SIGKILL)
 
     async def stop_node(self) -> None:
-        """Shut the node down gracefully and restart it."""
+        """Shut the node down gracefully; it is then restarted."""
         await self._restart_node(signal.SIGTERM)
 
     async def drain_backend(self) -> None:
@@ -146,6 +150,8 @@
 
     async def close(self) -> None:
         """Kill both processes and wait for them to end."""
+        for task in list(self._supervisors):
+            task.cancel()
         for process in (self._node, self._backend):
             if process is not None:
                 _send_signal(process, signal.SIGKILL)
@@ -164,8 +170,6 @@
             _send_signal(process, signal.SIGKILL)
             await process.wait()
         await asyncio.sleep(RESTART_DELAY_SECONDS)
-        if process is self._node:
-            await self.start_node()
 
     async def _restart_backend(self, signal_number: signal.Signals) -> None:
         process = self._backend
@@ -173,8 +177,22 @@
         _send_signal(process, signal_number)
         await process.wait()
         await asyncio.sleep(RESTART_DELAY_SECONDS)
-        if process is self._backend:
-            await self.start_backend()
+
+    def _supervise(
+        self,
+        process: asyncio.subprocess.Process,
+        start: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Start another process once this one has ended, for whatever reason."""
+
+        async def restart() -> None:
+            await process.wait()
+            await asyncio.sleep(RESTART_DELAY_SECONDS)
+            await start()
+
+        task = asyncio.create_task(restart())
+        self._supervisors.add(task)
+        task.add_done_callback(self._supervisors.discard)
 
     def _record_disturbance(self) -> None:
         self.node_disturbed_at.append(time.monotonic())
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -9,6 +9,7 @@
 from primroseglade.addresses import join_address, parse_address
 
 CHUNK_BYTES = 64 * 1024
+TARGET_POLL_SECONDS = 0.03
 # SO_LINGER on with 0 seconds: closing the socket resets the connection.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -38,12 +39,16 @@
         self.listen = listen
         self._target = parse_address(target)
         self._fault = LinkFault.NONE
+        self._server: asyncio.Server | None = None
+        self._reopening: asyncio.Task[None] | None = None
         self._client_writers: set[asyncio.StreamWriter] = set()
         self._silenced_writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Start listening."""
-        await asyncio.start_server(self._accept, *parse_address(self.listen))
+        self._server = await asyncio.start_server(
+            self._accept, *parse_address(self.listen)
+        )
 
     def set_fault(self, fault: LinkFault) -> None:
         """Inject this fault from now on, instead of the previous one."""
@@ -63,8 +68,9 @@
         try:
             target_reader, target_writer = await asyncio.open_connection(*self._target)
         except OSError:
-            # Nothing listens at the target: reset, as without the proxy.
+            # Nothing listens at the target.
             _reset(writer)
+            self._refuse_until_target_listens()
             return
         self._client_writers.add(writer)
         to_target = asyncio.create_task(
@@ -86,6 +92,22 @@
         writer.close()
         target_writer.close()
 
+    def _refuse_until_target_listens(self) -> None:
+        """Refuse connections, as the target does without the proxy."""
+        if self._reopening is None or self._reopening.done():
+            assert self._server is not None
+            self._server.close()
+            self._reopening = asyncio.create_task(self._reopen())
+
+    async def _reopen(self) -> None:
+        while True:
+            await asyncio.sleep(TARGET_POLL_SECONDS)
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection(*self._target)
+                writer.close()
+                break
+        await self.start()
+
     async def _forward(
         self,
         reader: asyncio.StreamReader,
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,8 +12,8 @@
 from primroseglade.sidecar.http_client import ConnectionPool, ExchangeError
 from primroseglade.stand_ins.store import StoreStandIn
 
-from .backend import INSTANCE_HEADER
-from .checks import Execution, find_violations, Record, SentRequest
+from .backend import FATAL_MARK, INSTANCE_HEADER
+from .checks import Execution, FatalRequest, find_violations, Record, SentRequest
 from .machines import Machine, OUTBOUND_PORT
 from .proxy import FaultProxy, LinkFault
 from .schedule import generate_faults, ScheduledFault
@@ -40,6 +40,9 @@
 KEY_WEIGHTS = (8, 1, 1)
 SWING_RATIO = 0.6
 SWING_PERIOD_SECONDS = 7.0
+# Numbers of callers that send a request under which backend servers end at one moment.
+FATAL_CALLERS = (1, 1, 2, 4)
+FATAL_ATTEMPTS = 8
 KINDS_BY_ROUTE = {"front": "safe", "deep": "safe", "once": "unsafe"}
 
 
@@ -153,14 +156,52 @@
             with contextlib.suppress(ExchangeError, TimeoutError):
                 # A request without a response violates no guarantee.
                 async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
-                    await self._send_request(pool, request, route)
+                    await self._send_request(pool, request, f"/{route}/x")
+
+    async def send_fatal_requests(self, fault: ScheduledFault) -> None:
+        """Send a request under which backend servers end to all machines in turn."""
+        route = list(KINDS_BY_ROUTE)[fault.variant % len(KINDS_BY_ROUTE)]
+        target = f"/{route}/{FATAL_MARK.decode()}{fault.variant}-{self._count_fatal()}"
+        at_once = FATAL_CALLERS[fault.variant // 10 % len(FATAL_CALLERS)]
+        key = next(iter(self._active_keys))
+        self.record.fatal_requests[target] = FatalRequest(at_once, key)
+        first = fault.machine_index
+        async with asyncio.TaskGroup() as group:
+            for number in range(at_once):
+                group.create_task(self._send_fatal_request(target, first + number))
+        for number in range(FATAL_ATTEMPTS):
+            await asyncio.sleep(fault.duration_seconds / FATAL_ATTEMPTS)
+            await self._send_fatal_request(target, first + at_once + number)
+
+    def _count_fatal(self) -> int:
+        return len(self.record.fatal_requests)
+
+    async def _send_fatal_request(self, target: str, machine_number: int) -> None:
+        machine = self._machines[machine_number % len(self._machines)]
+        route = target.split("/")[1]
+        fatal_request = self.record.fatal_requests[target]
+        request = SentRequest(
+            f"x{self._count_fatal()}-{len(fatal_request.request_ids)}",
+            fatal_request.key,
+            KINDS_BY_ROUTE[route] == "safe",
+            time.monotonic(),
+            machine.number,
+        )
+        fatal_request.request_ids.append(request.request_id)
+        self.record.requests[request.request_id] = request
+        pool = ConnectionPool(machine.address(OUTBOUND_PORT), 1.0)
+        with contextlib.suppress(ExchangeError, TimeoutError):
+            # It has no answer if the node ends meanwhile.
+            async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
+                await self._send_request(pool, request, target)
+        pool.close_idle()
 
     async def _send_request(
-        self, pool: ConnectionPool, request: SentRequest, route: str
+        self, pool: ConnectionPool, request: SentRequest, target: str
     ) -> None:
         method = "GET" if request.idempotent else "POST"
         head = (
-            f"{method} /{route}/x HTTP/1.1\r\nHost: {VIRTUAL_HOST}\r\n"
+            f"{method} {target} HTTP/1.1\r\nHost: {VIRTUAL_HOST}\r\n"
             f"X-Primroseglade-Request-Id: {request.request_id}\r\n"
             f"X-Primroseglade-Deadline-Ms: {REQUEST_TIMEOUT_SECONDS * 1000:.0f}\r\n"
             f"Authorization: Token {request.key}\r\nContent-Length: 0\r\n\r\n"
@@ -347,6 +388,11 @@
     await machine.kill_backend()
 
 
+@_injects("fatal-request")
+async def _send_fatal_requests(soak: Soak, fault: ScheduledFault) -> None:
+    await soak.send_fatal_requests(fault)
+
+
 @_injects("backend-link")
 async def _fault_backend_link(soak: Soak, fault: ScheduledFault) -> None:
     await _inject_link_fault(soak.get_machine(fault).backend_proxy, fault)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -11,6 +11,7 @@
     "backend-kill",
     "backend-limit",
     "backend-states-leaving",
+    "fatal-request",
     "backend-link",
     "store-link",
     "store-down",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from soak.checks import Execution, find_violations, Record, SentRequest
+from soak.checks import (
+    Execution,
+    FatalRequest,
+    find_violations,
+    Record,
+    SentRequest,
+)
 from soak.run import Soak
 
 # A short run for every change; `python -m soak` runs more seeds by hand.
@@ -89,6 +95,17 @@
         record.executions[name] = [Execution(name, "i-1", "north", False, at)]
 
 
+def end_too_many_servers(record: Record) -> None:
+    """End a fourth backend server under one request, three attempts later."""
+    fatal_request = FatalRequest(1, "key-a")
+    for number in range(4):
+        name = f"x{number}"
+        fatal_request.request_ids.append(name)
+        record.requests[name] = SentRequest(name, "key-a", True, 10.0)
+        record.executions[name] = [Execution(name, f"i-{number}", "north", False, 10.1)]
+    record.fatal_requests["/deep/fatal-1"] = fatal_request
+
+
 def ignore_stated_drain(record: Record) -> None:
     """Send a request 2 s after its node has passed on that the instance leaves."""
     record.leaving_passed_on_at[0, "i-1"] = 7.5
@@ -98,6 +115,7 @@
     "harm",
     [
         exceed_limit,
+        end_too_many_servers,
         ignore_stated_drain,
         execute_twice,
         answer_not_executed,
