--- a/primroseglade/sidecar/dispatch.py
+++ b/primroseglade/sidecar/dispatch.py
@@ -4,14 +4,13 @@
 import time
 
 from ..observe.events import CALL_RETRIED, Journal
-from ..verdicts import not_run, Reason, Refusal, Verdict
+from ..verdicts import not_run, Reason, Refusal
 from .answer_sizes import AnswerSizes
 from .backend import Backend
 from .backend_dialect import ServedAnswer
 from .call_graph import CallGraph
 from .fleet import Fleet
 from .frames import Call
-from .guarded_backend import GuardedBackend
 from .http_messages import MIN_FAILURE_STATUS
 from .load_balancing import (
     Candidate,
@@ -21,19 +20,11 @@
 from .node_metrics import NodeMetrics
 from .outgoing_call import Attempts, Outcome, OutgoingCall
 from .retry_budget import RetryBudget
-from .suspect_routing import SuspectRouting
+from .retry_rules import RetryRules
+from .suspect_calls import SuspectCalls
 from .zone_costs import ZoneCosts
 from .zone_rules import ZoneRules
 
-# Maximum number of nodes tried for a call that has reached no backend server. Under
-# overload all nodes refuse, and trying all of them would cost more than serving the
-# calls.
-MAX_NODES_TRIED = 3
-# Above this failure ratio of a service, nested calls to it (calls that a backend server
-# makes) are not retried: a request makes several of them and fails if any one does, so
-# that retrying one rarely saves the request. The retry budget is left to callers' own
-# requests.
-NESTED_RETRY_MAX_FAILURE_RATIO = 0.2
 # Refusing a nested call wastes the work already done for its request. If no node can
 # take the call, it waits this long first, and twice as long each further time.
 NESTED_INITIAL_BACKOFF_SECONDS = 0.05
@@ -48,8 +39,7 @@
     Args:
         node: This node's name.
         backend: The local backend server.
-        guarded_backend: Runs calls on it.
-        suspect_routing: Admits and places calls of suspect requests.
+        suspects: Handles calls of suspect requests, and runs calls on `backend`.
         fleet: The other nodes.
         retry_budget: Limits retries.
         graph: Provides the downstream calls that a retry makes again.
@@ -64,8 +54,7 @@
         self,
         node: str,
         backend: Backend,
-        guarded_backend: GuardedBackend,
-        suspect_routing: SuspectRouting,
+        suspects: SuspectCalls,
         fleet: Fleet,
         retry_budget: RetryBudget,
         graph: CallGraph,
@@ -77,11 +66,10 @@
     ):
         self._node = node
         self._backend = backend
-        self._guarded_backend = guarded_backend
-        self._suspect_routing = suspect_routing
+        self._guarded_backend = suspects.guarded_backend
+        self._suspect_routing = suspects.routing
         self._fleet = fleet
-        self._retry_budget = retry_budget
-        self._graph = graph
+        self._retry_rules = RetryRules(backend.queue, fleet, graph, retry_budget)
         self._journal = journal
         self._node_metrics = node_metrics
         self._zone_costs = zone_costs
@@ -109,7 +97,7 @@
             outcome = await self._attempt(call, candidate, attempts)
             if outcome is not None:
                 return outcome
-            if not self._may_attempt_again(call, attempts):
+            if not self._retry_rules.may_attempt_again(call, attempts):
                 return attempts.get_final_outcome()
             if attempts.last_reached_backend:
                 self._log_retry(call, candidate, attempts)
@@ -164,21 +152,6 @@
         attempts.record_failure(outcome)
         return None
 
-    def _may_attempt_again(self, call: OutgoingCall, attempts: "Attempts") -> bool:
-        """Return whether to try another node after a failed attempt.
-
-        An attempt counts as a retry only if the one before it reached a backend server.
-        """
-        if not attempts.last_reached_backend:
-            return len(
-                attempts.tried
-            ) < MAX_NODES_TRIED and self._suspect_routing.may_try_again(
-                call, attempts.reason
-            )
-        if attempts.verdict is not Verdict.NOT_RUN and not call.route.idempotent:
-            return False
-        return self._may_retry(call, attempts.backends_reached)
-
     def _log_retry(
         self, call: OutgoingCall, candidate: Candidate, attempts: "Attempts"
     ) -> None:
@@ -192,23 +165,6 @@
             arrivals=attempts.backends_reached,
         )
 
-    def _may_retry(self, call: OutgoingCall, backends_reached: int) -> bool:
-        """Return whether a retry may be sent, and charge the retry budget if so."""
-        if backends_reached >= call.route.max_attempts:
-            return False
-        if call.deadline - time.monotonic() < self._backend.queue.service_seconds / 4:
-            return False
-        if (
-            call.nested
-            and self._fleet.get_failure_ratio(call.service)
-            > NESTED_RETRY_MAX_FAILURE_RATIO
-        ):
-            return False
-        expected_calls = self._graph.get_expected_calls(call.route.name, call.service)
-        return self._retry_budget.try_spend(
-            expected_calls, len(self._fleet), time.monotonic()
-        )
-
     def _choose(self, call: OutgoingCall, tried: set[str]) -> Candidate | None:
         downstream_ms_by_zone = self._zone_costs.get_downstream_costs(
             call.route.name, call.service
--- a/primroseglade/sidecar/guarded_backend.py
+++ b/primroseglade/sidecar/guarded_backend.py
@@ -56,13 +56,13 @@
                 ended under the call's request.
         """
         self._tracker.learn(call.ended_servers)
-        request = self._tracker.identify(call) if self._tracker.suspects else 0
+        request = self._tracker.identify(call) if self._tracker.requests else 0
         try:
             return await self._serve(call, request, remaining)
         except Refusal as refusal:
-            if self._tracker.suspects:
+            if self._tracker.requests:
                 request = request or self._tracker.identify(call)
-                refusal.ended_servers = self._tracker.suspects.export(request)
+                refusal.ended_servers = self._tracker.requests.export(request)
             raise
 
     async def _serve(self, call: Call, request: int, remaining: float) -> ServedAnswer:
@@ -104,18 +104,18 @@
 
     def _handle_answer(self, call: Call, request: int, served: ServedAnswer) -> None:
         """Clear the request of a call that has run to its end, if it is suspect."""
-        if not self._tracker.suspects:
+        if not self._tracker.requests:
             return
         request = request or self._tracker.identify(call)
         run = served.run
         if run.ended_servers:
-            ended = self._tracker.suspects.export(request)
+            ended = self._tracker.requests.export(request)
             served.ended_servers = tuple(
                 e for e in ended if e.server in run.ended_servers
             )
         elif (
-            not run.was_blocked
-            and self._tracker.suspects.get_standing(request) is not Standing.CLEAR
+            not run.failed_by_request
+            and self._tracker.requests.get_standing(request) is not Standing.CLEAR
         ):
             self._tracker.clear(request)
 
--- a/primroseglade/sidecar/load_state.py
+++ b/primroseglade/sidecar/load_state.py
@@ -16,7 +16,7 @@
         node: The node.
     """
     backend = node.backend
-    ended_servers, cleared_requests = node.suspects.list_news()
+    ended_servers, cleared_requests = node.suspects.tracker.list_news()
     return NodeState(
         backend.instance,
         backend.slots,
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -30,7 +30,6 @@
 from .evacuations import Evacuations
 from .fleet import Fleet
 from .frames import PolicyAnswer, TokenGrant, TokenRequest
-from .guarded_backend import GuardedBackend
 from .health_check import HealthChecker, HealthDialect
 from .http_server import build_local_server, HttpServer
 from .introduction import Introduction
@@ -60,9 +59,7 @@
 from .running_calls import RunningCalls
 from .server_connection import Handler
 from .state_broadcast import BROADCAST_SECONDS, StateBroadcaster
-from .suspect_requests import SuspectRequests
-from .suspect_routing import SuspectRouting
-from .suspect_tracker import SuspectTracker
+from .suspect_calls import SuspectCalls
 from .warm_up import WarmUp
 from .zone_costs import ZoneCosts
 from .zone_rules import ZoneRules
@@ -206,32 +203,13 @@
             settings.retry_ratio, settings.retry_fixed, settings.retry_window
         )
         self._zone_rules = ZoneRules(settings.zones, self.evacuations, journal)
-        self.suspects = SuspectTracker(
-            settings.name,
-            SuspectRequests(
-                settings.max_ended_servers, settings.request_block, time.monotonic
-            ),
-            dialect,
-            journal,
-            self._broadcast_state,
-        )
-        suspect_routing = SuspectRouting(
-            settings.name,
-            settings.service,
-            lambda: bool(self.backend.instance),
-            self.fleet,
-            self.suspects,
+        self.suspects = SuspectCalls(
+            settings, self.backend, self.fleet, dialect, journal, self._broadcast_state
         )
         self.dispatcher = Dispatcher(
             settings.name,
             self.backend,
-            GuardedBackend(
-                self.backend,
-                self.suspects,
-                suspect_routing.is_runner,
-                suspect_routing.get_limit,
-            ),
-            suspect_routing,
+            self.suspects,
             self.fleet,
             self.retry_budget,
             self.graph,
@@ -353,14 +331,12 @@
     def build_full_state(self) -> NodeState:
         """Return the full state, which this node sends first on a new stream."""
         state = self._state_broadcaster.build_full_state()
-        ended_servers, cleared_requests = self.suspects.suspects.export_all()
-        state.ended_servers = tuple(ended_servers)
-        state.cleared_requests = tuple(cleared_requests)
+        self.suspects.tracker.add_all(state)
         return state
 
     def record_ended_servers(self, state: NodeState) -> None:
         """Record the backend servers that ended under calls, as a state says."""
-        self.suspects.apply_state(state)
+        self.suspects.tracker.apply_state(state)
 
     def handle_state(self, peer: Peer) -> None:
         """Fetch the policy from a peer whose state shows a newer version."""
--- a/primroseglade/sidecar/node_metrics.py
+++ b/primroseglade/sidecar/node_metrics.py
@@ -141,12 +141,12 @@
         yield core.CounterMetricFamily(
             METRIC_PREFIX + "ended_calls",
             "Calls under which the process of the backend server ended.",
-            value=node.suspects.ended_calls,
+            value=node.suspects.tracker.ended_calls,
         )
         yield core.CounterMetricFamily(
             METRIC_PREFIX + "ended_backends",
             "Processes of the backend server that ended under calls.",
-            value=node.suspects.ended_servers,
+            value=node.suspects.tracker.ended_servers,
         )
         cross_zone_bytes = core.CounterMetricFamily(
             METRIC_PREFIX + "zone_bytes",
@@ -259,12 +259,12 @@
         (
             "suspect_requests",
             "Requests under which backend servers have ended, blocked ones included.",
-            node.suspects.count_requests(Standing.SUSPECT, Standing.BLOCKED),
+            node.suspects.tracker.count_requests(Standing.SUSPECT, Standing.BLOCKED),
         ),
         (
             "blocked_requests",
             "Requests that are refused because backend servers ended under them.",
-            node.suspects.count_requests(Standing.BLOCKED),
+            node.suspects.tracker.count_requests(Standing.BLOCKED),
         ),
         ("peers", "Other nodes to which a stream is open.", connected_peers),
         (
--- a/primroseglade/sidecar/operator_requests.py
+++ b/primroseglade/sidecar/operator_requests.py
@@ -33,16 +33,16 @@
 
 
 def _list_suspects(node: "SidecarNode") -> list[dict[str, object]]:
-    suspects = node.suspects.suspects
+    requests = node.suspects.tracker.requests
     return [
         {
             "request": format_request(request),
-            "standing": suspects.get_standing(request).value,
-            "ended_servers": suspects.count_ends(request),
-            "nodes": suspects.list_nodes(request),
-            "blocked_seconds": round(suspects.get_block_seconds(request), 1),
+            "standing": requests.get_standing(request).value,
+            "ended_servers": requests.count_ends(request),
+            "nodes": requests.list_nodes(request),
+            "blocked_seconds": round(requests.get_block_seconds(request), 1),
         }
-        for request in suspects.list_suspects()
+        for request in requests.list_suspects()
     ]
 
 
@@ -51,7 +51,7 @@
     if request.method != b"POST" or not request.target.endswith(RELEASE_SUFFIX):
         return _answer(405, {"error": "expected POST /suspects/HASH/release"})
     try:
-        released = node.suspects.release(int(name, 16))
+        released = node.suspects.tracker.release(int(name, 16))
     except ValueError:
         released = False
     if not released:
--- a/primroseglade/sidecar/running_calls.py
+++ b/primroseglade/sidecar/running_calls.py
@@ -69,6 +69,11 @@
         self._blocked_seconds = 0.0
         self._blocked_since = 0.0
 
+    @property
+    def failed_by_request(self) -> bool:
+        """Whether a failure is due to the request, and not to the backend server."""
+        return self.was_blocked or bool(self.ended_servers)
+
     def begin_call(self, route: str, now: float) -> None:
         """Record a call that the backend server makes for this one."""
         self.calls[route] = min(MAX_COUNTED_CALLS, self.calls.get(route, 0) + 1)
--- a/primroseglade/sidecar/suspect_routing.py
+++ b/primroseglade/sidecar/suspect_routing.py
@@ -4,7 +4,7 @@
 import zlib
 from collections.abc import Callable, Collection
 
-from ..verdicts import Reason, Refusal, SUSPECT_REASONS
+from ..verdicts import Refusal, SUSPECT_REASONS
 from .ended_servers import EndedServer
 from .fleet import build_candidate, Fleet
 from .load_balancing import Candidate
@@ -45,13 +45,13 @@
         Raises:
             Refusal: The request is blocked; the verdict is `NOT_RUN`.
         """
-        suspects = self._tracker.suspects
-        if not suspects:
+        requests = self._tracker.requests
+        if not requests:
             call.suspect = 0
             return
         request = self._tracker.identify(call)
         standing = await self._tracker.wait_while_fresh(
-            request, suspects.limit, call.deadline - time.monotonic()
+            request, requests.limit, call.deadline - time.monotonic()
         )
         if standing is Standing.BLOCKED:
             raise self._tracker.build_block(request)
@@ -97,7 +97,7 @@
         Nodes that cannot be reached may run trials of their own, so that it is one less
         while there are any beside backend servers of the same service.
         """
-        limit = self._tracker.suspects.limit
+        limit = self._tracker.requests.limit
         return limit if self._fleet.reaches_all(self._service) else max(1, limit - 1)
 
     def record_outcome(self, call: OutgoingCall, outcome: Outcome) -> None:
@@ -119,14 +119,7 @@
 
     def list_ended_servers(self, call: OutgoingCall) -> tuple[EndedServer, ...]:
         """Return the ends to tell the node to which a call is sent."""
-        return self._tracker.suspects.export(call.suspect) if call.suspect else ()
-
-    def may_try_again(self, call: OutgoingCall, reason: str) -> bool:
-        """Return whether a refused call may go to another node.
-
-        A trial that has waited too long for another one may not: the other still runs.
-        """
-        return not (call.suspect and Reason.from_code(reason) in SUSPECT_REASONS)
+        return self._tracker.requests.export(call.suspect) if call.suspect else ()
 
     def _choose(self, request: int, names: Collection[str]) -> str:
         """Return the name of the node at which trials of a request run.
@@ -134,7 +127,7 @@
         All nodes that know the same choose the same one. Those beside a server that
         ended under the request come last.
         """
-        ends = self._tracker.suspects.list_nodes(request)
+        ends = self._tracker.requests.list_nodes(request)
         order = {name: index for index, name in enumerate(ends, 1)}
         return min(
             names,
--- a/primroseglade/sidecar/suspect_tracker.py
+++ b/primroseglade/sidecar/suspect_tracker.py
@@ -57,13 +57,13 @@
 
     Args:
         node: Name of this node.
-        suspects: What is known of them.
+        requests: What is known of them.
         dialect: Finds out which requests are the same.
         journal: Logs ends and blocks.
         broadcast_state: Sends this node's state to the others at once.
 
     Attributes:
-        suspects: What is known of them.
+        requests: What is known of them.
         ended_servers: Number of local processes that ended under calls.
         ended_calls: Number of these calls.
     """
@@ -71,7 +71,7 @@
     def __init__(
         self,
         node: str,
-        suspects: SuspectRequests,
+        requests: SuspectRequests,
         dialect: RequestDialect,
         journal: Journal,
         broadcast_state: Callable[[], None],
@@ -80,7 +80,7 @@
         self._dialect = dialect
         self._journal = journal
         self._broadcast_state = broadcast_state
-        self.suspects = suspects
+        self.requests = requests
         self.ended_servers = 0
         self.ended_calls = 0
         self._last_server = 0
@@ -115,7 +115,7 @@
                 request=call.request_id.decode("latin-1"),
                 backend=backend,
                 suspect=format_request(call.request),
-                ended_before=self.suspects.count_ends(call.request),
+                ended_before=self.requests.count_ends(call.request),
             )
         trials = tuple({call.request for call in lost if call.is_trial})
         requests = tuple({call.request for call in lost})
@@ -142,11 +142,17 @@
             ]
         )
 
+    def add_all(self, state: NodeState) -> None:
+        """Add to a state all that a node that has just connected needs to know."""
+        ended_servers, cleared_requests = self.requests.export_all()
+        state.ended_servers = tuple(ended_servers)
+        state.cleared_requests = tuple(cleared_requests)
+
     def count_requests(self, *standings: Standing) -> int:
         """Return the number of requests with one of some standings."""
         return sum(
-            self.suspects.get_standing(request) in standings
-            for request in self.suspects.list_suspects()
+            self.requests.get_standing(request) in standings
+            for request in self.requests.list_suspects()
         )
 
     def learn(self, ended: Iterable[EndedServer]) -> None:
@@ -158,12 +164,12 @@
         """Record what another node's state says of ends."""
         self.learn(state.ended_servers)
         for cleared in state.cleared_requests:
-            if self.suspects.apply_clearing(cleared):
+            if self.requests.apply_clearing(cleared):
                 self.wake(cleared.request)
 
     def clear(self, request: int) -> None:
         """Clear a request that has run to its end, and tell the other nodes."""
-        cleared = self.suspects.clear(request)
+        cleared = self.requests.clear(request)
         if cleared is None:
             return
         self._journal.emit(
@@ -175,7 +181,7 @@
 
     def repeat_clearing(self, request: int) -> None:
         """Tell the other nodes again that a request is cleared."""
-        cleared = self.suspects.get_clearing(request)
+        cleared = self.requests.get_clearing(request)
         if cleared is not None:
             self._announce_clearing(cleared)
 
@@ -185,7 +191,7 @@
         Returns:
             Whether it was suspect or blocked.
         """
-        cleared = self.suspects.clear(request)
+        cleared = self.requests.clear(request)
         if cleared is None:
             return False
         self._journal.emit(REQUEST_RELEASED, suspect=format_request(request))
@@ -194,12 +200,12 @@
 
     def build_block(self, request: int, limit: int | None = None) -> Refusal:
         """Return the refusal of a call of a blocked request."""
-        count = self.suspects.count_ends(request)
+        count = self.requests.count_ends(request)
         detail = (
             f"{count} backend servers ended under the same request "
             f"({format_request(request)})"
         )
-        seconds = self.suspects.get_block_seconds(request, limit)
+        seconds = self.requests.get_block_seconds(request, limit)
         return not_run(Reason.REQUEST_BLOCKED, detail, seconds)
 
     def list_news(self) -> tuple[list[EndedServer], list[ClearedRequest]]:
@@ -210,7 +216,7 @@
         ended = [
             message
             for server, (_, requests) in self._new_ends.items()
-            if (message := self.suspects.build_message(server, requests)) is not None
+            if (message := self.requests.build_message(server, requests)) is not None
         ]
         return ended, [cleared for _, cleared in self._new_clearings.values()]
 
@@ -224,17 +230,17 @@
             limit: Number of ended backend servers at which it is blocked.
             remaining: Seconds until the call's deadline.
         """
-        suspects = self.suspects
-        standing = suspects.get_standing(request, limit)
+        requests = self.requests
+        standing = requests.get_standing(request, limit)
         if standing is not Standing.BLOCKED:
             return standing
         wait = min(
-            CLEARING_SECONDS - suspects.get_last_end_age(request),
+            CLEARING_SECONDS - requests.get_last_end_age(request),
             remaining * MAX_WAIT_RATIO,
         )
         while standing is Standing.BLOCKED and wait > 0:
             wait = await self.wait_for_change(request, wait)
-            standing = suspects.get_standing(request, limit)
+            standing = requests.get_standing(request, limit)
         return standing
 
     async def wait_for_change(self, request: int, seconds: float) -> float:
@@ -289,16 +295,16 @@
         self.wake(cleared.request)
 
     def _record(self, end: EndedServer) -> bool:
-        if not self.suspects.record(end):
+        if not self.requests.record(end):
             return False
         for request in end.requests:
             self.wake(request)
-            if self.suspects.get_standing(request) is Standing.BLOCKED:
+            if self.requests.get_standing(request) is Standing.BLOCKED:
                 self._journal.emit(
                     REQUEST_BLOCKED,
                     suspect=format_request(request),
-                    servers=self.suspects.count_ends(request),
-                    seconds=round(self.suspects.get_block_seconds(request), 1),
+                    servers=self.requests.count_ends(request),
+                    seconds=round(self.requests.get_block_seconds(request), 1),
                 )
         return True
 
--- a/tests/test_mesh_ended_servers.py
+++ b/tests/test_mesh_ended_servers.py
@@ -68,7 +68,7 @@
 def list_suspects(mesh: Mesh) -> set[int]:
     """Return the requests that any node suspects."""
     nodes = [instance.node for instance in mesh.instances]
-    return {r for node in nodes for r in node.suspects.suspects.list_suspects()}
+    return {r for node in nodes for r in node.suspects.tracker.requests.list_suspects()}
 
 
 async def count_served(mesh: Mesh, count: int = 60) -> int:
