Do not count failures of a request's own against servers and nodes

Callers saw nothing yet: a request whose nested call is blocked fails at every server that runs it, with status 500, and a refusal of a blocked request counted against the node that refused. Both failure ratios steer calls away from servers that work: 0.147 at a front server after five attempts of one request. Failures after ended servers or blocked calls count no more; the test of nested calls checks it and failed before.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -562,12 +562,14 @@
             self._record_statements(
                 parsed.statements, call.instance, start_time_ms, sent_at
             )
-        self._check_answer(answer, parsed)
+        self._check_answer(answer, parsed, running_call)
         return ServedAnswer(
             answer.status, parsed, answer.body, start_time_ms, running_call
         )
 
-    def _check_answer(self, answer: Response, parsed: ParsedAnswerHead) -> None:
+    def _check_answer(
+        self, answer: Response, parsed: ParsedAnswerHead, running_call: RunningCall
+    ) -> None:
         """Check that an answer of the backend server is valid.
 
         Answers with a status of 300 or above are valid without a signature.
@@ -589,7 +591,8 @@
             self._failure_ratio.record(True)
             detail = "the answer carries no signature of the backend server"
             raise may_have_run(Reason.ANSWER_BROKEN, detail)
-        self._failure_ratio.record(answer.status >= MIN_FAILURE_STATUS)
+        if not running_call.failed_by_request:
+            self._failure_ratio.record(answer.status >= MIN_FAILURE_STATUS)
 
 
 def _check_remaining_time(remaining: float) -> None:
--- a/primroseglade/sidecar/call_refusals.py
+++ b/primroseglade/sidecar/call_refusals.py
@@ -1,8 +1,15 @@
 """Translation between refusals and the messages that carry them to other nodes."""
 
-from ..verdicts import may_have_run, not_run, Reason, Refusal, Verdict
+from ..verdicts import (
+    may_have_run,
+    not_run,
+    Reason,
+    Refusal,
+    SUSPECT_REASONS,
+    Verdict,
+)
 from .backend import BackendRefusal
-from .frames import Call, CallRefused
+from .frames import Call, CallAnswer, CallRefused, Frame
 
 
 def build_message(call: Call, refusal: Refusal, in_flight: int) -> CallRefused:
@@ -25,6 +32,15 @@
     )
 
 
+def is_due_to_request(reply: Frame) -> bool:
+    """Return whether a call failed because of its request, not of the node's server."""
+    if isinstance(reply, CallAnswer):
+        return bool(reply.ended_servers)
+    return isinstance(reply, CallRefused) and (
+        Reason.from_code(reply.reason) in SUSPECT_REASONS
+    )
+
+
 def read_message(message: CallRefused) -> Refusal:
     """Return the refusal that a message reports."""
     reason = Reason.from_code(message.reason) or Reason.OVERLOADED
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -7,7 +7,7 @@
 from ..addresses import parse_address
 from ..observe.events import Journal, PEER_CONNECTED, PEER_LOST, PEER_UNREACHABLE
 from ..verdicts import may_have_run, not_run, Reason
-from .call_refusals import read_message
+from .call_refusals import is_due_to_request, read_message
 from .clock import read_age_clock
 from .frames import (
     Call,
@@ -222,8 +222,11 @@
             raise
         except ConnectionError as error:
             raise may_have_run(Reason.CONNECTION_LOST, str(error)) from error
-        failed = not isinstance(reply, CallAnswer) or reply.status >= MIN_FAILURE_STATUS
-        self.failure_ratio += FAILURE_SMOOTHING * (failed - self.failure_ratio)
+        if not is_due_to_request(reply):
+            failed = (
+                not isinstance(reply, CallAnswer) or reply.status >= MIN_FAILURE_STATUS
+            )
+            self.failure_ratio += FAILURE_SMOOTHING * (failed - self.failure_ratio)
         if isinstance(reply, CallAnswer):
             self.record_in_flight(reply.in_flight)
             self._record_slowdown(reply.slowdown_percent)
--- a/tests/test_mesh_ended_servers.py
+++ b/tests/test_mesh_ended_servers.py
@@ -140,6 +140,9 @@
     async with run_mesh(mesh):
         await attempt(mesh, 5, "/front/fatal")
         assert count_ends(mesh) <= MAX_ENDED_SERVERS
+        # The servers that made the calls are not to blame for their failures.
+        for instance in mesh.instances[:2]:
+            assert instance.node.backend.failure_ratio == 0
         assert await count_served(mesh) == 60
 
 
