Count all ends under a request once a trial has ended a server; pages; settings

A trial that ends a server shows that the cause was the request.

Settings max_ended_servers and request_block, checked at the start.

--- a/primroseglade/platform/settings.py
+++ b/primroseglade/platform/settings.py
@@ -11,7 +11,25 @@
 )
 from .values import Fields
 
-MAX_MAX_ENDED_SERVERS = 100
+MAX_ENDED_SERVERS_RANGE = (1, 100)
+REQUEST_BLOCK_SECONDS_RANGE = (1.0, 86_400.0)
+# Settings that the platform does not state itself: path, default, unit and meaning.
+OPTIONAL_SETTINGS = (
+    (
+        "/bounds/max_ended_servers",
+        DEFAULT_MAX_ENDED_SERVERS,
+        "backend servers",
+        "Backend servers that may end under one request before it is blocked, from "
+        "{} to {}.".format(*MAX_ENDED_SERVERS_RANGE),
+    ),
+    (
+        "/bounds/request_block",
+        f"{DEFAULT_REQUEST_BLOCK_SECONDS:g}s",
+        "",
+        "Duration of the block, from {:g}s to {:g}s; ends count for twice as "
+        "long.".format(*REQUEST_BLOCK_SECONDS_RANGE),
+    ),
+)
 
 
 class PlatformSettings:
@@ -50,15 +68,18 @@
     return fields.get_object("zones").get_strings()
 
 
-def _decode_max_ended_servers(bounds: Fields) -> int:
-    count = bounds.get_integer("max_ended_servers", DEFAULT_MAX_ENDED_SERVERS)
-    if not 1 <= count <= MAX_MAX_ENDED_SERVERS:
-        raise InputError(
-            "settings/bounds",
-            "max_ended_servers",
-            f"is {count}, must be from 1 to {MAX_MAX_ENDED_SERVERS}",
-        )
-    return count
+def _check_range(
+    name: str, value: float, allowed: tuple[float, float], unit: str = ""
+) -> None:
+    """Check the value of one of the bounds.
+
+    Raises:
+        InputError: It is outside the allowed range.
+    """
+    lowest, highest = allowed
+    if not lowest <= value <= highest:
+        expected = f"must be from {lowest:g}{unit} to {highest:g}{unit}"
+        raise InputError("settings/bounds", name, f"is {value:g}{unit}, {expected}")
 
 
 def decode_settings(fields: Fields) -> PlatformSettings:
@@ -73,6 +94,12 @@
     if not ports or not all(isinstance(port, int) for port in ports):
         raise InputError("settings", "internal_ports", "must list at least one port")
     host = fields.get_string("ip")
+    max_ended_servers = bounds.get_integer(
+        "max_ended_servers", DEFAULT_MAX_ENDED_SERVERS
+    )
+    _check_range("max_ended_servers", max_ended_servers, MAX_ENDED_SERVERS_RANGE)
+    request_block = bounds.get_seconds("request_block", DEFAULT_REQUEST_BLOCK_SECONDS)
+    _check_range("request_block", request_block, REQUEST_BLOCK_SECONDS_RANGE, "s")
     node = NodeSettings(
         name=fields.get_string("node_name"),
         zone=fields.get_string("zone"),
@@ -96,9 +123,7 @@
         quota_slack=bounds.get_number("quota_slack", 0.0),
         quota_window=bounds.get_seconds("quota_window", 5.0),
         cold_overshoot=bounds.get_number("cold_overshoot", 1.0),
-        max_ended_servers=_decode_max_ended_servers(bounds),
-        request_block=bounds.get_seconds(
-            "request_block", DEFAULT_REQUEST_BLOCK_SECONDS
-        ),
+        max_ended_servers=max_ended_servers,
+        request_block=request_block,
     )
     return PlatformSettings(node, fields.get_object("platform").get_string("address"))
--- a/primroseglade/reference.py
+++ b/primroseglade/reference.py
@@ -11,6 +11,7 @@
 from .document.schema import SECTION_SCHEMAS
 from .observe.events import EVENT_CATALOG
 from .observe.metrics import Metrics
+from .platform.settings import OPTIONAL_SETTINGS
 from .settings.node import SETTINGS_SCHEMA
 from .verdicts import Reason
 
@@ -54,6 +55,20 @@
     lines += ["| path | default | unit | meaning |", "| --- | --- | --- | --- |"]
     required = set(SETTINGS_SCHEMA["required"])
     lines += _render_fields("", SETTINGS_SCHEMA["properties"], required)
+    lines += [
+        "",
+        "## Optional settings on the users' platform",
+        "",
+        "The platform states the others (docs/PLATFORM.md). A value out of range is "
+        "refused at the start.",
+        "",
+        "| path | default | unit | meaning |",
+        "| --- | --- | --- | --- |",
+    ]
+    lines += [
+        f"| `{path}` | {default} | {unit} | {text} |"
+        for path, default, unit, text in OPTIONAL_SETTINGS
+    ]
     lines += ["", "## Sections of the document", ""]
     for kind, schema in SECTION_SCHEMAS.items():
         lines += [f"### {kind}/NAME", "", schema["description"], ""]
--- a/primroseglade/sidecar/suspect_requests.py
+++ b/primroseglade/sidecar/suspect_requests.py
@@ -248,16 +248,19 @@
     def _count(self, request: int, ends: list[_End]) -> tuple[int, int]:
         """Return the number of ends to count, and of events that they happened in.
 
-        Each trial is an event of its own. Other ends within a short time are one event;
-        they count once if servers that did not run the request ended then too.
+        Each trial is an event of its own, and so are other ends within a short time. If
+        there was no trial, such ends count once if servers that did not run the request
+        ended then, too.
         """
-        count = events = sum(end.requests[request] for end in ends)
+        trials = sum(end.requests[request] for end in ends)
+        count, events = len(ends), trials
         untold = sorted(end.at for end in ends if not end.requests[request])
         while untold:
             together = [at for at in untold if at - untold[0] <= COMMON_CAUSE_SECONDS]
             untold = untold[len(together) :]
             events += 1
-            count += 1 if self._ended_without(request, together) else len(together)
+            if not trials and self._ended_without(request, together):
+                count -= len(together) - 1
         return count, events
 
     def _ended_without(self, request: int, times: list[float]) -> bool:
--- a/soak/run.py
+++ b/soak/run.py
@@ -161,7 +161,8 @@
     async def send_fatal_requests(self, fault: ScheduledFault) -> None:
         """Send a request under which backend servers end to all machines in turn."""
         route = list(KINDS_BY_ROUTE)[fault.variant % len(KINDS_BY_ROUTE)]
-        target = f"/{route}/{FATAL_MARK.decode()}{fault.variant}-{self._count_fatal()}"
+        number = len(self.record.fatal_requests)
+        target = f"/{route}/{FATAL_MARK.decode()}{fault.variant}-{number}"
         at_once = FATAL_CALLERS[fault.variant // 10 % len(FATAL_CALLERS)]
         key = next(iter(self._active_keys))
         self.record.fatal_requests[target] = FatalRequest(at_once, key)
@@ -173,15 +174,12 @@
             await asyncio.sleep(fault.duration_seconds / FATAL_ATTEMPTS)
             await self._send_fatal_request(target, first + at_once + number)
 
-    def _count_fatal(self) -> int:
-        return len(self.record.fatal_requests)
-
     async def _send_fatal_request(self, target: str, machine_number: int) -> None:
         machine = self._machines[machine_number % len(self._machines)]
-        route = target.split("/")[1]
+        route, number = target.split("/")[1], target.rpartition("-")[2]
         fatal_request = self.record.fatal_requests[target]
         request = SentRequest(
-            f"x{self._count_fatal()}-{len(fatal_request.request_ids)}",
+            f"x{number}-{len(fatal_request.request_ids)}",
             fatal_request.key,
             KINDS_BY_ROUTE[route] == "safe",
             time.monotonic(),
