Run the deciding trial of a request without other suspects beside it

Cause: it had run on the two servers that another request ended, and its trial ran on the third beside that request's; three ends counted against both, and no server was left to clear it. Of several trials on a server that ends only one is to blame, so that a request that the next end would block now runs without any other trial beside it; the guilty one is then blocked alone. A test of the gate fails without it.

--- a/primroseglade/sidecar/suspect_tracker.py
+++ b/primroseglade/sidecar/suspect_tracker.py
@@ -286,6 +286,11 @@
             if not waiter.done():
                 waiter.set_result(None)
 
+    def wake_all(self) -> None:
+        """Wake the calls of all requests that wait for a change."""
+        for request in list(self._waiters):
+            self.wake(request)
+
     def _publish(self, ended: list[EndedServer]) -> None:
         for end in ended:
             if self._record(end):
--- a/primroseglade/sidecar/trial_gate.py
+++ b/primroseglade/sidecar/trial_gate.py
@@ -1,4 +1,8 @@
-"""Lets one call at a time of each suspect request run on the local backend server."""
+"""Lets one call at a time of each suspect request run on the local backend server.
+
+If the server ends under several trials, any of their requests may be to blame. So the
+one that may block a request runs without any other trial beside it.
+"""
 
 from ..verdicts import not_run, Reason
 from .suspect_requests import Standing
@@ -19,12 +23,13 @@
         tracker: Knows which requests are suspect.
     """
 
-    __slots__ = ("_running", "_tracker")
+    __slots__ = ("_exclusive", "_running", "_tracker")
 
     def __init__(self, tracker: SuspectTracker):
         self._tracker = tracker
         # The requests of which a trial runs.
         self._running: set[int] = set()
+        self._exclusive = False
 
     async def enter(
         self, request: int, may_try: bool, limit: int, remaining: float
@@ -52,8 +57,7 @@
                 return False
             if standing is Standing.BLOCKED:
                 raise self._tracker.build_block(request, limit)
-            if may_try and request not in self._running:
-                self._running.add(request)
+            if may_try and self._try_begin(request, limit):
                 return True
             wait = await self._tracker.wait_for_change(request, wait)
             if wait <= 0:
@@ -64,6 +68,18 @@
                 raise not_run(Reason.REQUEST_SUSPECT, detail)
 
     def leave(self, request: int) -> None:
-        """End a trial, and let the next one begin."""
+        """End a trial, and let the next ones begin."""
         self._running.discard(request)
-        self._tracker.wake(request)
+        self._exclusive = False
+        self._tracker.wake_all()
+
+    def _try_begin(self, request: int, limit: int) -> bool:
+        """Begin a trial if no other one is in its way."""
+        exclusive = self._tracker.requests.count_ends(request) >= limit - 1
+        if self._exclusive or request in self._running:
+            return False
+        if exclusive and self._running:
+            return False
+        self._running.add(request)
+        self._exclusive = exclusive
+        return True
--- a/tests/test_trial_gate.py
+++ b/tests/test_trial_gate.py
@@ -14,7 +14,7 @@
 from primroseglade.sidecar.trial_gate import TrialGate
 from primroseglade.verdicts import Reason, Refusal, Verdict
 
-REQUEST = 7
+REQUEST, OTHER, FIRST_TIME = 7, 8, 9
 LIMIT = 3
 NAMES = tuple(f"deep-{number}" for number in range(6))
 
@@ -108,6 +108,28 @@
     assert sorted([await second, await third]) == [False, True]
 
 
+async def test_request_that_may_be_blocked_runs_without_other_suspects_beside_it():
+    """Guards against blocking an innocent request for a server that ended under the
+    trial of another: both had run on the two servers that ended before.
+    """
+    tracker = build_tracker()
+    gate = TrialGate(tracker)
+    tracker.learn([EndedServer(n, f"deep-{n}", 0, (REQUEST, OTHER)) for n in (1, 2)])
+    tracker.learn([EndedServer(3, "deep-3", 0, (FIRST_TIME,))])
+    assert await gate.enter(REQUEST, True, LIMIT, 2.0)
+    waiting = [
+        asyncio.create_task(gate.enter(request, True, LIMIT, 2.0))
+        for request in (OTHER, FIRST_TIME)
+    ]
+    await asyncio.sleep(0.01)
+    assert not any(task.done() for task in waiting)
+    gate.leave(REQUEST)
+    await asyncio.sleep(0.01)
+    assert sum(task.done() for task in waiting) == 1
+    gate.leave(OTHER if waiting[0].done() else FIRST_TIME)
+    assert await asyncio.gather(*waiting) == [True, True]
+
+
 async def test_waiting_calls_are_refused_as_not_run():
     """Guards against an untrue verdict, and against a wait beyond the deadline."""
     tracker = build_tracker()
