Send news of several ends and clearings together

A lost rack makes each survivor clear dozens of requests at once, each with a broadcast to all nodes. News now wait up to 20 ms for others after a broadcast; those that a call depends on go with it as before. Clearings of ends that are too old are dropped with these.

--- a/primroseglade/sidecar/guarded_backend.py
+++ b/primroseglade/sidecar/guarded_backend.py
@@ -65,16 +65,9 @@
             raise
 
     async def _serve(self, call: Call, request: int, remaining: float) -> ServedAnswer:
-        is_trial = False
-        if request:
-            arrived_at = time.monotonic()
-            may_try = bool(call.ended_servers) or self._is_runner(request)
-            is_trial = await self._gate.enter(
-                request, may_try, self._get_limit(), remaining
-            )
-            remaining -= time.monotonic() - arrived_at
-            if call.ended_servers and not is_trial:
-                self._tracker.repeat_clearing(request)
+        arrived_at = time.monotonic()
+        is_trial = request != 0 and await self._enter(call, request, remaining)
+        remaining -= time.monotonic() - arrived_at
         try:
             if is_trial:
                 await self._check_listening()
@@ -94,6 +87,20 @@
         self._handle_answer(call, request, served)
         return served
 
+    async def _enter(self, call: Call, request: int, remaining: float) -> bool:
+        """Wait until a call may run; return whether its run is a trial.
+
+        Raises:
+            Refusal: It may not run; the verdict is `NOT_RUN`.
+        """
+        may_try = bool(call.ended_servers) or self._is_runner(request)
+        limit = self._get_limit()
+        is_trial = await self._gate.enter(request, may_try, limit, remaining)
+        if call.ended_servers and not is_trial:
+            # The sender has missed that the request was cleared.
+            self._tracker.repeat_clearing(request)
+        return is_trial
+
     async def _check_listening(self) -> None:
         """Refuse a trial on a process that has already ended, which proves nothing."""
         if await self._detector.is_refused():
--- a/primroseglade/sidecar/suspect_requests.py
+++ b/primroseglade/sidecar/suspect_requests.py
@@ -330,5 +330,6 @@
         for request in self._ends.pop(server).requests:
             suspect = self._suspects[request]
             suspect.servers.discard(server)
+            suspect.cleared.discard(server)
             if not suspect.servers and not suspect.cleared:
                 self._remove_suspect(request)
--- a/primroseglade/sidecar/suspect_tracker.py
+++ b/primroseglade/sidecar/suspect_tracker.py
@@ -26,6 +26,8 @@
 # Changes are repeated in the states that are broadcast within this time, for nodes that
 # receive states through others.
 REPEAT_SECONDS = 2.0
+# When many calls are lost or cleared at once, their news are sent together.
+MIN_BROADCAST_SECONDS = 0.02
 
 
 class RequestDialect(Protocol):
@@ -89,6 +91,7 @@
         self._new_ends: dict[int, tuple[float, set[int]]] = {}
         self._new_clearings: dict[int, tuple[float, ClearedRequest]] = {}
         self._broadcast_scheduled = False
+        self._broadcast_at = 0.0
         self._waiters: dict[int, set[asyncio.Future[None]]] = {}
 
     def identify(self, call: Call | OutgoingCall) -> int:
@@ -104,10 +107,6 @@
             return 0
         return hash_request(head_hash, call.body)
 
-    def _hash_head(self, call: Call | OutgoingCall) -> int:
-        workspace = call.context.workspace if call.context is not None else 0
-        return hash_head(self._dialect.get_identity(call), workspace)
-
     def record_end(self, server: int, backend: str, lost: Iterable[LostCall]) -> None:
         """Record that the local backend server ended, and tell the other nodes.
 
@@ -291,26 +290,36 @@
         for request in list(self._waiters):
             self.wake(request)
 
+    def _hash_head(self, call: Call | OutgoingCall) -> int:
+        workspace = call.context.workspace if call.context is not None else 0
+        return hash_head(self._dialect.get_identity(call), workspace)
+
     def _publish(self, ended: list[EndedServer]) -> None:
         for end in ended:
             if self._record(end):
                 _, requests = self._new_ends.get(end.server, (0.0, set()))
                 requests |= set(end.requests)
                 self._new_ends[end.server] = (time.monotonic(), requests)
-        if self._new_ends and not self._broadcast_scheduled:
-            # Many calls may be lost at once.
-            self._broadcast_scheduled = True
-            asyncio.get_running_loop().call_soon(self._broadcast)
-
-    def _broadcast(self) -> None:
-        self._broadcast_scheduled = False
-        self._broadcast_state()
+        self._schedule_broadcast()
 
     def _announce_clearing(self, cleared: ClearedRequest) -> None:
         self._new_clearings[cleared.request] = (time.monotonic(), cleared)
-        self._broadcast_state()
+        self._schedule_broadcast()
         self.wake(cleared.request)
 
+    def _schedule_broadcast(self) -> None:
+        """Broadcast the state at once, or soon after the last broadcast."""
+        if self._broadcast_scheduled:
+            return
+        self._broadcast_scheduled = True
+        delay = self._broadcast_at + MIN_BROADCAST_SECONDS - time.monotonic()
+        asyncio.get_running_loop().call_later(max(0.0, delay), self._broadcast)
+
+    def _broadcast(self) -> None:
+        self._broadcast_scheduled = False
+        self._broadcast_at = time.monotonic()
+        self._broadcast_state()
+
     def _record(self, end: EndedServer) -> bool:
         if not self.requests.record(end):
             return False
