Keep ends under blocked requests longest; log a block once

With more than 128 ends in twenty minutes the oldest were dropped first, also those that keep a request blocked: the test of the bounds, with twice as many ends, failed before. Event 509 came again with each further end.

--- a/primroseglade/sidecar/suspect_requests.py
+++ b/primroseglade/sidecar/suspect_requests.py
@@ -301,9 +301,14 @@
             self._remove_suspect(request)
 
     def _enforce_bounds(self) -> None:
-        """Remove the oldest ends and suspects beyond the bounds."""
-        while len(self._ends) > MAX_ENDS:
-            self._remove_end(min(self._ends, key=lambda s: self._ends[s].at))
+        """Remove the oldest ends and suspects beyond the bounds, blocked ones last."""
+        if len(self._ends) > MAX_ENDS:
+            blocked = frozenset(self._list_blocked())
+            oldest = min(
+                self._ends.values(),
+                key=lambda end: (not blocked.isdisjoint(end.requests), end.at),
+            )
+            self._remove_end(next(s for s, e in self._ends.items() if e is oldest))
         if len(self._suspects) <= MAX_SUSPECTS:
             return
         kept = self._select(int(MAX_SUSPECTS * KEPT_RATIO))
@@ -316,15 +321,17 @@
 
     def _select(self, max_count: int) -> set[int]:
         """Return the most important requests: blocked ones, then the newest."""
-        blocked = [
+        newest = reversed(list(self._suspects))
+        selected = dict.fromkeys([*self._list_blocked(), *newest])
+        return set(list(selected)[:max_count])
+
+    def _list_blocked(self) -> list[int]:
+        return [
             request
             for request, suspect in self._suspects.items()
             if len(suspect.servers - suspect.cleared) >= self.limit
             and self.get_standing(request) is Standing.BLOCKED
         ]
-        newest = reversed(list(self._suspects))
-        selected = dict.fromkeys([*blocked, *newest])
-        return set(list(selected)[:max_count])
 
     def _remove_end(self, server: int) -> None:
         for request in self._ends.pop(server).requests:
--- a/primroseglade/sidecar/suspect_tracker.py
+++ b/primroseglade/sidecar/suspect_tracker.py
@@ -321,11 +321,13 @@
         self._broadcast_state()
 
     def _record(self, end: EndedServer) -> bool:
+        blocked_before = self._list_blocked(end.requests)
         if not self.requests.record(end):
             return False
         for request in end.requests:
             self.wake(request)
-            if self.requests.get_standing(request) is Standing.BLOCKED:
+        for request in self._list_blocked(end.requests):
+            if request not in blocked_before:
                 self._journal.emit(
                     REQUEST_BLOCKED,
                     suspect=format_request(request),
@@ -334,6 +336,13 @@
                 )
         return True
 
+    def _list_blocked(self, requests: Iterable[int]) -> list[int]:
+        return [
+            request
+            for request in requests
+            if self.requests.get_standing(request) is Standing.BLOCKED
+        ]
+
 
 def _drop_before(oldest: float, news: dict[int, tuple[float, Any]]) -> Any:
     return {key: value for key, value in news.items() if value[0] >= oldest}
--- a/tests/test_suspect_requests.py
+++ b/tests/test_suspect_requests.py
@@ -187,11 +187,12 @@
     suspects = build_suspects()
     for server in range(LIMIT):
         suspects.record(end(server, REQUEST, trial=True))
-    for server in range(10, 10 + MAX_ENDS - LIMIT):
+    for server in range(10, 10 + 2 * MAX_ENDS):
         first = 1000 * server
         suspects.record(end(server, *range(first, first + 200)))
     assert suspects.get_standing(REQUEST) is Standing.BLOCKED
     assert len(suspects.list_suspects()) <= MAX_SUSPECTS
+    assert len(suspects._ends) <= MAX_ENDS
     ended, _ = suspects.export_all()
     assert len({r for message in ended for r in message.requests}) <= (
         MAX_SHARED_REQUESTS
