--- a/primroseglade/cli/explain.py
+++ b/primroseglade/cli/explain.py
@@ -9,13 +9,8 @@
 from ..errors import PrimrosegladeError
 from ..exits import ExitStatus
 from ..observe.events import format_entry
-from ..observe.explain import (
-    count_dropped_lines,
-    explain,
-    Explanation,
-    LogLine,
-    read_lines,
-)
+from ..observe.explain import explain, Explanation
+from ..observe.log_lines import count_dropped_lines, LogLine, read_lines
 from .registry import command
 
 
