Ask the address of a lost process for its health before calling it alive

A connection to a dying process may be taken and closed later than the 10 ms for which it was watched. The probe now sends a health check, where the operator states a path: no answer and a closed connection lead to another probe, another instance's answer shows the end at once. Without a path the connection is watched for 30 ms.

--- a/primroseglade/emulator/mesh.py
+++ b/primroseglade/emulator/mesh.py
@@ -172,9 +172,8 @@
     def close_idle(self) -> None:
         """Close all idle connections."""
 
-    async def is_refused(self) -> bool:
-        """Return whether connections are refused: never, all ends are known."""
-        return False
+    async def probe(self, request: None) -> None:
+        """Open a connection: it is never refused, as all ends are known."""
 
 
 class EmulatedStore:
--- a/primroseglade/sidecar/guarded_backend.py
+++ b/primroseglade/sidecar/guarded_backend.py
@@ -24,6 +24,7 @@
     Args:
         backend: The local backend server.
         tracker: Knows which requests are suspect.
+        detector: Finds out whether the process has ended.
         is_runner: Returns whether trials of a request run at this node.
         get_limit: Returns the number of ended backend servers at which requests are
             blocked.
@@ -33,6 +34,7 @@
         self,
         backend: Backend,
         tracker: SuspectTracker,
+        detector: EndDetector,
         is_runner: Callable[[int], bool],
         get_limit: Callable[[], int],
     ):
@@ -41,7 +43,7 @@
         self._is_runner = is_runner
         self._get_limit = get_limit
         self._gate = TrialGate(tracker)
-        self._detector = EndDetector(backend)
+        self._detector = detector
         self._unresolved: set[asyncio.Task[None]] = set()
 
     async def serve(self, call: Call, remaining: float) -> ServedAnswer:
@@ -103,7 +105,7 @@
 
     async def _check_listening(self) -> None:
         """Refuse a trial on a process that has already ended, which proves nothing."""
-        if await self._detector.is_refused():
+        if await self._detector.has_ended():
             self._backend.mark_unavailable()
             detail = "nothing listens at the backend server's address"
             raise not_run(Reason.CONNECTION_LOST, detail)
@@ -137,7 +139,7 @@
         lost = LostCall(
             call.request_id, request or self._tracker.identify(call), is_trial
         )
-        if await self._detector.is_refused():
+        if await self._detector.has_ended():
             backend.mark_unavailable()
             self._record_end(lifetime, lost)
             return True
--- a/primroseglade/sidecar/health_check.py
+++ b/primroseglade/sidecar/health_check.py
@@ -71,6 +71,14 @@
         self._record_check = record_check
         self._record_answer = record_answer
 
+    def render(self) -> bytes | None:
+        """Return a health check to be sent now; None if there is no path for it."""
+        path = self._get_path()
+        if not path:
+            return None
+        self._record_check()
+        return self._dialect.render_health_check(path, self._address)
+
     async def run(self) -> None:
         """Check until an answer shows what is needed, or until that is not needed."""
         path = self._get_path()
--- a/primroseglade/sidecar/http_client.py
+++ b/primroseglade/sidecar/http_client.py
@@ -38,10 +38,8 @@
 ALL_LOST_WITHIN_SECONDS = 0.05
 
 
-# A process that is ending may accept connections for a moment before it closes them.
-MAX_PROBES = 3
-PROBE_TIMEOUT_SECONDS = 0.1
-PROBE_HOLD_SECONDS = 0.01
+# A connection to a process that is ending may be closed this long after it was opened.
+PROBE_HOLD_SECONDS = 0.03
 
 
 class ExchangeError(Exception):
@@ -350,22 +348,28 @@
         else:
             connection.close()
 
-    async def is_refused(self) -> bool:
-        """Return whether connections are refused: no process listens there."""
-        for _ in range(MAX_PROBES):
-            try:
-                async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-                    connection = await self._dial()
-            except TimeoutError:
-                return False
-            except ExchangeError as error:
-                return error.refused
+    async def probe(self, request: bytes | None) -> Response | None:
+        """Open a connection, and send a request on it.
+
+        Args:
+            request: The request; None to wait whether the connection stays open.
+
+        Returns:
+            The response; None without a request.
+
+        Raises:
+            ExchangeError: The connection was refused or lost.
+        """
+        connection = await self._dial()
+        try:
+            if request is not None:
+                return await connection.exchange(request)
             await asyncio.sleep(PROBE_HOLD_SECONDS)
-            is_open = connection.reusable
+            if not connection.reusable:
+                raise ExchangeError("connection closed", sent=False)
+            return None
+        finally:
             self.release(connection)
-            if is_open:
-                return False
-        return False
 
     def close_idle(self) -> None:
         """Close all idle connections."""
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -204,7 +204,13 @@
         )
         self._zone_rules = ZoneRules(settings.zones, self.evacuations, journal)
         self.suspects = SuspectCalls(
-            settings, self.backend, self.fleet, dialect, journal, self._broadcast_state
+            settings,
+            self.backend,
+            self.fleet,
+            dialect,
+            journal,
+            self._broadcast_state,
+            self._health_checker.render,
         )
         self.dispatcher = Dispatcher(
             settings.name,
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,11 +10,12 @@
 
 from primroseglade.addresses import join_address
 from primroseglade.sidecar.http_client import ConnectionPool, ExchangeError
+from primroseglade.stand_ins.mesh_backend import HEALTH_PATH
 from primroseglade.stand_ins.store import StoreStandIn
 
 from .backend import FATAL_MARK, INSTANCE_HEADER
 from .checks import Execution, FatalRequest, find_violations, Record, SentRequest
-from .machines import Machine, OUTBOUND_PORT
+from .machines import Machine, OUTBOUND_PORT, SERVICES
 from .proxy import FaultProxy, LinkFault
 from .schedule import generate_faults, ScheduledFault
 
@@ -266,7 +267,10 @@
         self._store.publish(
             {
                 "version": self._configuration_version,
-                "services": [],
+                "services": [
+                    {"name": name, "health_path": HEALTH_PATH.decode()}
+                    for name in SERVICES
+                ],
                 "limits": {
                     "max_header_bytes": 16384,
                     "max_body_bytes": 1_000_000,
