Let ends under several trials decide nothing, and wait for news before a trial

Cause: two servers ended under another request, which it ran beside; the trials of both began on the third while that node knew of one end, so that neither was run alone, and that end counted as a trial against both. Only an end under a trial that ran alone counts as one now, and a trial begins 50 ms after the last end, when others are known.

--- a/primroseglade/sidecar/ended_servers.py
+++ b/primroseglade/sidecar/ended_servers.py
@@ -23,7 +23,7 @@
         node: Name of the node beside it.
         age_ms: Milliseconds from its end until the message was sent.
         requests: Hashes of the requests (`hash_request`).
-        trials: Those of them that were already suspect when they were sent to it.
+        trials: Those of them that were suspect before, and the only suspect there.
     """
 
     server: int
--- a/primroseglade/sidecar/guarded_backend.py
+++ b/primroseglade/sidecar/guarded_backend.py
@@ -80,7 +80,8 @@
                 and refusal.verdict is not Verdict.NOT_RUN
             ):
                 lifetime = self._backend.lifetime
-                if await self._handle_loss(call, request, is_trial):
+                is_decisive = self._gate.runs_alone(request)
+                if await self._handle_loss(call, request, is_decisive):
                     refusal.ended_server = hash_server(*lifetime)
             raise
         finally:
@@ -127,17 +128,22 @@
         ):
             self._tracker.clear(request)
 
-    async def _handle_loss(self, call: Call, request: int, is_trial: bool) -> bool:
+    async def _handle_loss(self, call: Call, request: int, is_decisive: bool) -> bool:
         """Return whether the process has ended under a call that was lost.
 
         A report may show it later; other nodes are then told, but not the sender.
+
+        Args:
+            call: The call.
+            request: Hash of its request; 0 if it was not suspect.
+            is_decisive: Whether it ran as the only trial.
         """
         backend = self._backend
         if backend.draining:
             return False
         lifetime = backend.lifetime
         lost = LostCall(
-            call.request_id, request or self._tracker.identify(call), is_trial
+            call.request_id, request or self._tracker.identify(call), is_decisive
         )
         if await self._detector.has_ended():
             backend.mark_unavailable()
--- a/primroseglade/sidecar/suspect_requests.py
+++ b/primroseglade/sidecar/suspect_requests.py
@@ -248,9 +248,9 @@
     def _count(self, request: int, ends: list[_End]) -> tuple[int, int]:
         """Return the number of ends to count, and of events that they happened in.
 
-        Each trial is an event of its own, and so are other ends within a short time. If
-        there was no trial, such ends count once if servers that did not run the request
-        ended then, too.
+        Each trial without others beside it is an event of its own, and so are other
+        ends within a short time. If there was no such trial, these count once if
+        servers that did not run the request ended then, too.
         """
         trials = sum(end.requests[request] for end in ends)
         count, events = len(ends), trials
--- a/primroseglade/sidecar/suspect_tracker.py
+++ b/primroseglade/sidecar/suspect_tracker.py
@@ -43,7 +43,7 @@
     Args:
         request_id: ID of the call.
         request: Hash of its request.
-        is_trial: Whether the request was already suspect.
+        is_trial: Whether the request was suspect before, and the only suspect there.
     """
 
     __slots__ = ("is_trial", "request", "request_id")
--- a/primroseglade/sidecar/trial_gate.py
+++ b/primroseglade/sidecar/trial_gate.py
@@ -4,6 +4,8 @@
 one that may block a request runs without any other trial beside it.
 """
 
+import asyncio
+
 from ..verdicts import not_run, Reason
 from .suspect_requests import Standing
 from .suspect_tracker import format_request, SuspectTracker
@@ -14,6 +16,8 @@
 # Maximum wait at a node that is not to run the request now. It waits for news that the
 # request is cleared, which the sender may have had earlier.
 MAX_NEWS_WAIT_SECONDS = 0.2
+# Time from an end to the next trial, in which ends at other nodes become known.
+TRIAL_DELAY_SECONDS = 0.05
 
 
 class TrialGate:
@@ -27,8 +31,8 @@
 
     def __init__(self, tracker: SuspectTracker):
         self._tracker = tracker
-        # The requests of which a trial runs.
-        self._running: set[int] = set()
+        # The requests of which a trial runs, and whether it has run alone so far.
+        self._running: dict[int, bool] = {}
         self._exclusive = False
 
     async def enter(
@@ -57,6 +61,13 @@
                 return False
             if standing is Standing.BLOCKED:
                 raise self._tracker.build_block(request, limit)
+            settling = TRIAL_DELAY_SECONDS - self._tracker.requests.get_last_end_age(
+                request
+            )
+            if may_try and settling > 0:
+                await asyncio.sleep(settling)
+                wait -= settling
+                continue
             if may_try and self._try_begin(request, limit):
                 return True
             wait = await self._tracker.wait_for_change(request, wait)
@@ -67,9 +78,13 @@
                 )
                 raise not_run(Reason.REQUEST_SUSPECT, detail)
 
+    def runs_alone(self, request: int) -> bool:
+        """Return whether a trial runs, and no other has run beside it."""
+        return self._running.get(request, False)
+
     def leave(self, request: int) -> None:
         """End a trial, and let the next ones begin."""
-        self._running.discard(request)
+        self._running.pop(request, None)
         self._exclusive = False
         self._tracker.wake_all()
 
@@ -80,6 +95,8 @@
             return False
         if exclusive and self._running:
             return False
-        self._running.add(request)
+        self._running[request] = True
         self._exclusive = exclusive
+        if len(self._running) > 1:
+            self._running = dict.fromkeys(self._running, False)
         return True
--- a/tests/test_trial_gate.py
+++ b/tests/test_trial_gate.py
@@ -1,6 +1,7 @@
 """Where and when calls of suspect requests run."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -16,6 +17,8 @@
 
 REQUEST, OTHER, FIRST_TIME = 7, 8, 9
 LIMIT = 3
+# Long enough ago for the next trial.
+AGE_MS = 100
 NAMES = tuple(f"deep-{number}" for number in range(6))
 
 
@@ -23,7 +26,7 @@
     """Return a tracker that broadcasts to nobody."""
     return SuspectTracker(
         node,
-        SuspectRequests(LIMIT, 600.0, lambda: 100.0),
+        SuspectRequests(LIMIT, 600.0, time.monotonic),
         SimpleNamespace(),
         Journal(node, "error"),
         lambda: None,
@@ -50,7 +53,7 @@
 
 def end(server: int, node: str, trial: bool = False) -> EndedServer:
     """Return the end of a server that ran the request."""
-    return EndedServer(server, node, 0, (REQUEST,), (REQUEST,) if trial else ())
+    return EndedServer(server, node, AGE_MS, (REQUEST,), (REQUEST,) if trial else ())
 
 
 def list_runners(ended: list[EndedServer], reachable=NAMES) -> list[str]:
@@ -114,8 +117,10 @@
     """
     tracker = build_tracker()
     gate = TrialGate(tracker)
-    tracker.learn([EndedServer(n, f"deep-{n}", 0, (REQUEST, OTHER)) for n in (1, 2)])
-    tracker.learn([EndedServer(3, "deep-3", 0, (FIRST_TIME,))])
+    tracker.learn(
+        [EndedServer(n, f"deep-{n}", AGE_MS, (REQUEST, OTHER)) for n in (1, 2)]
+    )
+    tracker.learn([EndedServer(3, "deep-3", AGE_MS, (FIRST_TIME,))])
     assert await gate.enter(REQUEST, True, LIMIT, 2.0)
     waiting = [
         asyncio.create_task(gate.enter(request, True, LIMIT, 2.0))
@@ -130,6 +135,21 @@
     assert await asyncio.gather(*waiting) == [True, True]
 
 
+async def test_trials_beside_each_other_decide_nothing():
+    """Guards against blocking an innocent request for a server that ended while another
+    one was tried there, too: ends elsewhere were not known yet when both began.
+    """
+    tracker = build_tracker()
+    gate = TrialGate(tracker)
+    tracker.learn([EndedServer(1, "deep-1", AGE_MS, (REQUEST, OTHER))])
+    assert await gate.enter(REQUEST, True, LIMIT, 2.0)
+    assert gate.runs_alone(REQUEST)
+    assert await gate.enter(OTHER, True, LIMIT, 2.0)
+    assert not gate.runs_alone(REQUEST) and not gate.runs_alone(OTHER)
+    gate.leave(OTHER)
+    assert not gate.runs_alone(REQUEST)
+
+
 async def test_waiting_calls_are_refused_as_not_run():
     """Guards against an untrue verdict, and against a wait beyond the deadline."""
     tracker = build_tracker()
