Never count ends under nested calls as trials of their parent

Found by reading: a parent that was on trial was blamed as if it had run alone at the server that ended, although its nested call may have run there beside the request to blame; three such ends would block it for ten minutes. Such ends count like others now. The new test failed before, as the parent's flag was handed on; 28 tests of ended servers, trials and running calls pass.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -373,15 +373,12 @@
                 time.monotonic() + MAX_REPORT_DELAY_SECONDS
             )
 
-    async def serve(
-        self, call: Call, remaining: float, is_trial: bool = False
-    ) -> ServedAnswer:
+    async def serve(self, call: Call, remaining: float) -> ServedAnswer:
         """Run a call on the backend server.
 
         Args:
             call: The call to run.
             remaining: Seconds until the call's deadline.
-            is_trial: Whether the call's request is suspect.
 
         Raises:
             Refusal: The call got no usable answer. The verdict says whether the call
@@ -405,7 +402,6 @@
             call.request_id, call.route, context, slot
         )
         running_call.call = call
-        running_call.is_trial = is_trial
         try:
             # The backend server may have been drained while the call was queued.
             self._check_instance(call)
--- a/primroseglade/sidecar/guarded_backend.py
+++ b/primroseglade/sidecar/guarded_backend.py
@@ -73,7 +73,7 @@
         try:
             if is_trial:
                 await self._check_listening()
-            served = await self._backend.serve(call, remaining, is_trial)
+            served = await self._backend.serve(call, remaining)
         except Refusal as refusal:
             if (
                 refusal.reason is Reason.CONNECTION_LOST
--- a/primroseglade/sidecar/running_calls.py
+++ b/primroseglade/sidecar/running_calls.py
@@ -28,7 +28,6 @@
         calls: Number of calls that the backend server has made for it so far, by route.
         pending_calls: Number of these that have not been answered.
         call: The message that the call came with; None if unknown.
-        is_trial: Whether the call's request is suspect (`suspect_requests.py`).
         ended_servers: Hashes of the backend servers that ended under calls made for it.
         was_blocked: Whether a call made for it was refused because its request is
             suspect.
@@ -41,7 +40,6 @@
         "calls",
         "context",
         "ended_servers",
-        "is_trial",
         "pending_calls",
         "request_id",
         "route",
@@ -63,7 +61,6 @@
         self.calls: dict[str, int] = {}
         self.pending_calls = 0
         self.call: Call | None = None
-        self.is_trial = False
         self.ended_servers: frozenset[int] = frozenset()
         self.was_blocked = False
         self._blocked_seconds = 0.0
--- a/primroseglade/sidecar/suspect_tracker.py
+++ b/primroseglade/sidecar/suspect_tracker.py
@@ -137,6 +137,8 @@
     ) -> None:
         """Record that backend servers ended under a call made for a running call.
 
+        They never count as ended under a trial: the call may not have run alone there.
+
         Args:
             parent: The running call, under which they ended, too.
             ended: The ends.
@@ -144,13 +146,9 @@
         if parent.call is None:
             return
         request = self.identify(parent.call)
-        trials = (request,) if parent.is_trial else ()
         parent.ended_servers |= {end.server for end in ended}
         self._publish(
-            [
-                EndedServer(end.server, end.node, end.age_ms, (request,), trials)
-                for end in ended
-            ]
+            [EndedServer(end.server, end.node, end.age_ms, (request,)) for end in ended]
         )
 
     def add_all(self, state: NodeState) -> None:
--- a/tests/test_trial_gate.py
+++ b/tests/test_trial_gate.py
@@ -177,3 +177,17 @@
     await asyncio.sleep(0.01)
     tracker.apply_state(NodeState(cleared_requests=(ClearedRequest(REQUEST, (1,)),)))
     assert await waiting is False
+
+
+async def test_ends_under_nested_calls_are_no_trials_of_their_parent():
+    """Guards against blocking an innocent request whose nested call ran beside the one
+    under which a backend server ended.
+    """
+    tracker = build_tracker()
+    tracker._dialect.get_identity = lambda call: b"GET /front/a HTTP/1.1"
+    call = SimpleNamespace(context=None, body=b"")
+    parent = SimpleNamespace(call=call, ended_servers=frozenset())
+    tracker.record_nested_ends(parent, [end(n, "deep-1", trial=True) for n in (1, 2)])
+    (message, other) = tracker.requests.export(tracker.identify(call))
+    assert (message.trials, other.trials) == ((), ())
+    assert parent.ended_servers == {1, 2}
