--- a/tests/test_suspect_requests.py
+++ b/tests/test_suspect_requests.py
@@ -197,3 +197,18 @@
     assert len({r for message in ended for r in message.requests}) <= (
         MAX_SHARED_REQUESTS
     )
+
+
+def test_many_later_ends_do_not_lift_a_block():
+    """Guards against a blocked request that runs again because many servers ended for
+    other reasons since.
+    """
+    clock = Clock()
+    suspects = build_suspects(clock)
+    for server in range(LIMIT):
+        suspects.record(end(server, REQUEST, trial=True))
+    for server in range(10, 10 + 2 * MAX_ENDS):
+        clock.now += 0.1
+        suspects.record(end(server, 1000 + server))
+    assert suspects.get_standing(REQUEST) is Standing.BLOCKED
+    assert len(suspects._ends) <= MAX_ENDS
