--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps exec python3 -m review.2.case
+export PYTHONPATH=target/deps
+python3 -c "import httptools, msgspec, uvloop" || exit 2
+exec python3 -m review.2.case
--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -30,6 +31,10 @@
     record.write(f"disruption: {'on' if disturb else 'off'}")
 
     async def play() -> list[str]:
+        task = asyncio.current_task()
+        assert task is not None
+        # So that no node is left behind.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(MAX_SECONDS):
             return await case(record, disturb)
 
@@ -39,7 +44,7 @@
         record.write(f"could not run: {error}")
         print(f"could not run: {error}")
         sys.exit(CANNOT_RUN_STATUS)
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         record.write(f"could not run: {traceback.format_exc()}")
         traceback.print_exc()
         sys.exit(CANNOT_RUN_STATUS)
