--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -1,7 +1,7 @@
 """Runs a case and turns its result into an exit status."""
 
+import argparse
 import asyncio
-import os
 import pathlib
 import signal
 import sys
@@ -27,7 +27,9 @@
         folder: Folder that receives ``record.txt``.
     """
     record = Record(folder / "record.txt")
-    disturb = os.environ.get("TROUBLE", "1") != "0"
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--trouble", default="1", help="0: without the disruption")
+    disturb = parser.parse_args().trouble != "0"
     record.write(f"disruption: {'on' if disturb else 'off'}")
 
     async def play() -> list[str]:
