--- a/primroseglade/emulator/backend_server.py
+++ b/primroseglade/emulator/backend_server.py
@@ -7,8 +7,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from ..sidecar.client_connection import ExchangeError, Response
 from ..sidecar.frames import Call
-from ..sidecar.http_client import ExchangeError, Response
 from .deployment import DownstreamCalls, EmulatedRoute, EmulatedService
 
 # Status of an answer, and whether the run was refused before it began.
--- a/primroseglade/emulator/mesh.py
+++ b/primroseglade/emulator/mesh.py
@@ -13,6 +13,7 @@
 
 from ..observe.events import Journal
 from ..sidecar.backend_dialect import ParsedAnswerHead
+from ..sidecar.client_connection import Response
 from ..sidecar.frames import (
     Call,
     CallAnswer,
@@ -24,7 +25,6 @@
     States,
 )
 from ..sidecar.health_check import HealthAnswer
-from ..sidecar.http_client import Response
 from ..sidecar.http_messages import render_status_line, Reply, Request
 from ..sidecar.model import (
     BackendState,
--- a/primroseglade/platform/dialect.py
+++ b/primroseglade/platform/dialect.py
@@ -3,9 +3,9 @@
 import math
 
 from ..sidecar.backend_dialect import ParsedAnswerHead
+from ..sidecar.client_connection import Response
 from ..sidecar.frames import Call
 from ..sidecar.health_check import HealthAnswer
-from ..sidecar.http_client import Response
 from ..sidecar.http_messages import render_status_line, Reply, Request
 from ..sidecar.outgoing_call import OutgoingCall
 from ..sidecar.request_handler import CallerFields
--- a/primroseglade/platform/store.py
+++ b/primroseglade/platform/store.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from ..observe.events import ENTRY_UNREADABLE, Journal
-from ..sidecar.http_client import ConnectionPool, ExchangeError, Response
+from ..sidecar.client_connection import ExchangeError, Response
+from ..sidecar.http_client import ConnectionPool
 from ..sidecar.model import NodeEntry, Policy
 from ..sidecar.policy_tracker import OffsetExpiredError, OperatorRecords, StoreError
 from .operator_config import decode_policy
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -16,10 +16,11 @@
 from .backend_dialect import BackendDialect, ParsedAnswerHead, ServedAnswer
 from .backend_queue import BackendQueue
 from .call_ratios import CallRatioEstimator
+from .client_connection import ExchangeError, Response
 from .cold_tracker import ColdTracker
 from .failure_ratio import FailureRatio
 from .frames import Call
-from .http_client import ConnectionPool, ExchangeError, Response
+from .http_client import ConnectionPool
 from .http_messages import MIN_FAILURE_STATUS
 from .load_balancing import Candidate
 from .model import BackendState, StatusReport
--- a/primroseglade/sidecar/backend_dialect.py
+++ b/primroseglade/sidecar/backend_dialect.py
@@ -2,9 +2,9 @@
 
 from typing import Protocol
 
+from .client_connection import Response
 from .ended_servers import EndedServer
 from .frames import Call
-from .http_client import Response
 from .running_calls import RunningCall
 from .statements import NO_STATEMENTS, Statements
 
--- /dev/null
+++ b/primroseglade/sidecar/client_connection.py
@@ -0,0 +1,275 @@
+"""The client side of one HTTP/1.1 connection.
+
+Unlike common client libraries, it distinguishes a complete response from a truncated
+one, the response to this request from a late response to another, and a request that
+was not sent from one that the server may have received.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import httptools
+
+from ..sockets import set_dead_peer_options, was_reset
+
+RawHeaders = list[tuple[bytes, bytes]]
+
+# How long sent data may stay unacknowledged before the kernel closes the connection as
+# dead. Longer than two retransmissions within a site, shorter than most callers'
+# deadlines.
+MAX_UNACKNOWLEDGED_MS = 1500
+KEEP_ALIVE_IDLE_SECONDS = 1
+# Used for servers that send no Keep-Alive header; common servers close idle connections
+# after 5 s or more.
+DEFAULT_IDLE_TIMEOUT_SECONDS = 4.0
+# A server closes an idle connection when the timeout that it announced expires. Reuse
+# stops one second earlier, to allow for the transit of a request.
+IDLE_TIMEOUT_MARGIN_SECONDS = 1.0
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+
+
+class ExchangeError(Exception):
+    """A request that got no complete response.
+
+    Args:
+        detail: Description of the failure.
+        sent: Whether the request may have reached the server.
+        refused: Whether the connection was refused: no process listens there.
+    """
+
+    def __init__(self, detail: str, sent: bool, refused: bool = False):
+        super().__init__(detail)
+        self.detail = detail
+        self.sent = sent
+        self.refused = refused
+
+
+class Response:
+    """A complete response of a server."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status: int, headers: RawHeaders):
+        self.status = status
+        self.headers = headers
+        self.body = b""
+
+
+ResponseFilter = Callable[[Response], bool]
+
+
+class ClientConnection(asyncio.Protocol):
+    """The client side of one connection; carries one request at a time.
+
+    Args:
+        on_lost: Called once the connection is closed, with whether the server closed
+            it.
+
+    Attributes:
+        idle_since: ``time.monotonic()`` of the last return to the pool.
+        idle_timeout: Idle seconds after which the connection must not be reused.
+    """
+
+    __slots__ = (
+        "_accept",
+        "_body_bytes",
+        "_chunks",
+        "_closed_here",
+        "_delimited_by_close",
+        "_head_only",
+        "_loop",
+        "_on_lost",
+        "_parser",
+        "_pending",
+        "_response",
+        "_reusable",
+        "_transport",
+        "idle_since",
+        "idle_timeout",
+    )
+
+    def __init__(self, on_lost: Callable[[bool], None]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._on_lost = on_lost
+        self._closed_here = False
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._response: Response | None = None
+        self._chunks: list[bytes] = []
+        self._body_bytes = 0
+        self._pending: asyncio.Future[Response] | None = None
+        self._accept: ResponseFilter | None = None
+        self._reusable = True
+        self._head_only = False
+        self._delimited_by_close = False
+        self.idle_since = 0.0
+        self.idle_timeout = DEFAULT_IDLE_TIMEOUT_SECONDS
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may carry another request."""
+        transport = self._transport
+        return (
+            self._reusable
+            and transport is not None
+            and not transport.is_closing()
+            and not transport.get_write_buffer_size()
+        )
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Set the socket options that detect a dead peer."""
+        self._transport = transport
+        set_dead_peer_options(transport, KEEP_ALIVE_IDLE_SECONDS, MAX_UNACKNOWLEDGED_MS)
+
+    def eof_received(self) -> bool:
+        """Complete or fail a response that is delimited by the connection's end."""
+        if self._delimited_by_close and self._response is not None:
+            self._reusable = False
+            if self._transport is not None and was_reset(self._transport):
+                # Only an orderly close marks the end of such a response.
+                detail = "connection reset before the end of the response"
+                self._fail(ExchangeError(detail, sent=True))
+            else:
+                self._complete()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request that waits for a response."""
+        self._transport = None
+        reason = str(exc) if exc else "closed by the server"
+        self._fail(ExchangeError(f"connection lost: {reason}", sent=True))
+        self._on_lost(not self._closed_here)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes."""
+        if self._pending is None:
+            # Unsolicited bytes could be mistaken for the response to the next request.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(ExchangeError(f"malformed HTTP response: {error}", sent=True))
+            self.close()
+
+    def on_message_begin(self) -> None:
+        """Start a new response (httptools callback)."""
+        if self._pending is None:
+            # A response that no request is waiting for.
+            self._reusable = False
+        self._response = Response(0, [])
+        self._chunks = []
+        self._body_bytes = 0
+        self._delimited_by_close = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header (httptools callback)."""
+        assert self._response is not None
+        self._response.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Determine framing and reuse of the connection (httptools callback)."""
+        assert self._response is not None
+        self._response.status = self._parser.get_status_code()
+        framed = self._response.status in (204, 304) or self._response.status < 200
+        for name, value in self._response.headers:
+            lower = name.lower()
+            if lower in (b"content-length", b"transfer-encoding"):
+                framed = True
+            elif lower == b"keep-alive":
+                self._apply_keep_alive(value)
+        self._delimited_by_close = not framed
+        if not framed or not self._parser.should_keep_alive():
+            self._reusable = False
+        if self._head_only and self._response.status >= 200:
+            # The parser waits for a body, which a response to HEAD does not have.
+            self._reusable = False
+            self._complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Buffer a part of the body, up to the limit (httptools callback)."""
+        self._chunks.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_RESPONSE_BYTES:
+            self._fail(
+                ExchangeError(
+                    f"response body exceeds {MAX_RESPONSE_BYTES} bytes", sent=True
+                )
+            )
+            self.close()
+
+    def on_message_complete(self) -> None:
+        """Deliver a complete final response (httptools callback)."""
+        if self._response is not None and self._response.status >= 200:
+            self._complete()
+
+    async def exchange(
+        self,
+        request: bytes,
+        accept: ResponseFilter | None = None,
+        head_only: bool = False,
+    ) -> Response:
+        """Send a request and return its complete response.
+
+        Responses that ``accept`` rejects are skipped, and the connection is not reused
+        after them.
+
+        Args:
+            request: Head and body.
+            accept: Returns whether a response belongs to this request.
+            head_only: Whether the request is a HEAD, whose response has no body.
+
+        Raises:
+            ExchangeError: No complete response was received.
+        """
+        if self._transport is None or self._transport.is_closing():
+            raise ExchangeError("connection closed before the request", sent=False)
+        pending = self._pending = self._loop.create_future()
+        self._accept = accept
+        self._head_only = head_only
+        self._transport.write(request)
+        try:
+            return await pending
+        except asyncio.CancelledError:
+            # Bytes still in transit would mix with the next request. The server takes
+            # the closed connection as a cancellation.
+            self.close()
+            raise
+        finally:
+            self._pending = None
+
+    def close(self) -> None:
+        """Close the connection at once, dropping unsent bytes."""
+        self._reusable = False
+        self._closed_here = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _apply_keep_alive(self, value: bytes) -> None:
+        for part in value.split(b","):
+            name, _, seconds = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and seconds.isdigit():
+                self.idle_timeout = max(0.0, int(seconds) - IDLE_TIMEOUT_MARGIN_SECONDS)
+
+    def _complete(self) -> None:
+        response = self._response
+        assert response is not None
+        self._response = None
+        pending = self._pending
+        if pending is None or pending.done():
+            # A second response to one request, or the request has already failed.
+            self._reusable = False
+            return
+        chunks = self._chunks
+        response.body = chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        self._chunks = []
+        if self._accept is not None and not self._accept(response):
+            # Not the response to this request; keep waiting for that one.
+            self._reusable = False
+            return
+        pending.set_result(response)
+
+    def _fail(self, error: ExchangeError) -> None:
+        self._reusable = False
+        if self._pending is not None and not self._pending.done():
+            self._pending.set_exception(error)
--- a/primroseglade/sidecar/end_detector.py
+++ b/primroseglade/sidecar/end_detector.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from .client_connection import ExchangeError, Response
 from .health_check import HealthAnswer
-from .http_client import ExchangeError, Response
 
 # A process that answers no health check for this long may be paused or cut off.
 MAX_PROBE_SECONDS = 0.3
--- a/primroseglade/sidecar/health_check.py
+++ b/primroseglade/sidecar/health_check.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from .http_client import ConnectionPool, ExchangeError, Response
+from .client_connection import ExchangeError, Response
+from .http_client import ConnectionPool
 
 # Timeout of one check, and pause before the next if it showed nothing.
 CHECK_TIMEOUT_SECONDS = 0.5
--- a/primroseglade/sidecar/streams.py
+++ b/primroseglade/sidecar/streams.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from ..sockets import set_dead_peer_options
+from .client_connection import KEEP_ALIVE_IDLE_SECONDS, MAX_UNACKNOWLEDGED_MS
 from .cross_zone_bytes import CrossZoneBytes
 from .frame_compression import FrameCompressor
 from .frames import (
@@ -18,7 +19,6 @@
     State,
     States,
 )
-from .http_client import KEEP_ALIVE_IDLE_SECONDS, MAX_UNACKNOWLEDGED_MS
 
 # A stream with more unsent bytes is closed, so that a peer that does not read cannot
 # exhaust this process's memory.
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,8 @@
 from collections.abc import Awaitable, Callable
 
 from primroseglade.addresses import join_address
-from primroseglade.sidecar.http_client import ConnectionPool, ExchangeError
+from primroseglade.sidecar.client_connection import ExchangeError
+from primroseglade.sidecar.http_client import ConnectionPool
 from primroseglade.stand_ins.mesh_backend import HEALTH_PATH
 from primroseglade.stand_ins.store import StoreStandIn
 
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -14,7 +14,8 @@
     build_readiness_handler,
 )
 from primroseglade.platform.store import StoreClient
-from primroseglade.sidecar.http_client import ConnectionPool, Response
+from primroseglade.sidecar.client_connection import Response
+from primroseglade.sidecar.http_client import ConnectionPool
 from primroseglade.sidecar.node import SidecarNode
 from primroseglade.sidecar.node_settings import NodeSettings
 from primroseglade.stand_ins.mesh_backend import MeshBackend
--- a/tests/test_mesh_ended_servers.py
+++ b/tests/test_mesh_ended_servers.py
@@ -7,7 +7,7 @@
 
 from primroseglade.errors import RefusedError
 from primroseglade.operator_client import OperatorClient
-from primroseglade.sidecar.http_client import ExchangeError, Response
+from primroseglade.sidecar.client_connection import ExchangeError, Response
 
 from .mesh import (
     build_configuration,
--- a/tests/test_mesh_resets.py
+++ b/tests/test_mesh_resets.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from primroseglade.sidecar.http_client import ConnectionPool, ExchangeError
+from primroseglade.sidecar.client_connection import ExchangeError
+from primroseglade.sidecar.http_client import ConnectionPool
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 UNFRAMED_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Kind: unframed\r\n\r\nhalf of it"
--- a/tests/test_mesh_shutdown.py
+++ b/tests/test_mesh_shutdown.py
@@ -5,7 +5,7 @@
 import pytest
 
 from primroseglade.sidecar import node as node_module
-from primroseglade.sidecar.http_client import ExchangeError
+from primroseglade.sidecar.client_connection import ExchangeError
 
 from .mesh import (
     build_configuration,
