Close connections on which bytes follow an answer

What callers saw: a payment that had failed (500) was answered 200, with the request ID and the seal of another payment before its own; payments that ran were answered 503 as not run.

Cause: a faulty backend server adds bytes to a complete answer. In the same read they began a new message in the parser, and the connection was only marked once that message was complete. A second answer that broke off left the parser in the middle of a head: the connection went back to the pool, and the status line of the next answer became the rest of a header value.

Change: a message that begins while no request waits marks the connection, complete or not, and bytes that come once the result is set close it. Bytes that arrive after the next request was sent cannot be told from its own answer by their place; a head that has a status line within a reason phrase or a header value is rejected, as the request may have run.

Blank lines alone do no harm: the parser skips them before a status line.

--- a/primroseglade/sidecar/client_connection.py
+++ b/primroseglade/sidecar/client_connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import re
 from collections.abc import Callable
 
 import httptools
@@ -26,6 +27,9 @@
 # stops one second earlier, to allow for the transit of a request.
 IDLE_TIMEOUT_MARGIN_SECONDS = 1.0
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# In a reason phrase or header value, it shows that a truncated response precedes this
+# one: its last line runs on into the next status line.
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d [1-5]\d\d( |$)")
 
 
 class ExchangeError(Exception):
@@ -44,6 +48,17 @@
         self.refused = refused
 
 
+class MalformedResponseError(ExchangeError):
+    """A server sent bytes that are no valid response; the request may have run.
+
+    Args:
+        detail: Description of the failure.
+    """
+
+    def __init__(self, detail: str):
+        super().__init__(f"malformed response: {detail}", sent=True)
+
+
 class Response:
     """A complete response of a server."""
 
@@ -81,6 +96,7 @@
         "_on_lost",
         "_parser",
         "_pending",
+        "_reason_phrase",
         "_response",
         "_reusable",
         "_transport",
@@ -95,6 +111,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._response: Response | None = None
+        self._reason_phrase = b""
         self._chunks: list[bytes] = []
         self._body_bytes = 0
         self._pending: asyncio.Future[Response] | None = None
@@ -116,6 +133,11 @@
             and not transport.get_write_buffer_size()
         )
 
+    @property
+    def _is_awaiting(self) -> bool:
+        """Whether a request waits for its response."""
+        return self._pending is not None and not self._pending.done()
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the socket options that detect a dead peer."""
         self._transport = transport
@@ -142,26 +164,31 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self._pending is None:
+        if not self._is_awaiting:
             # Unsolicited bytes could be mistaken for the response to the next request.
             self.close()
             return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(ExchangeError(f"malformed HTTP response: {error}", sent=True))
-            self.close()
+            self._reject(str(error))
 
     def on_message_begin(self) -> None:
         """Start a new response (httptools callback)."""
-        if self._pending is None:
-            # A response that no request is waiting for.
+        if not self._is_awaiting:
+            # A response that no request is waiting for. It may be truncated: the parser
+            # would take the next response for the rest of it.
             self._reusable = False
         self._response = Response(0, [])
+        self._reason_phrase = b""
         self._chunks = []
         self._body_bytes = 0
         self._delimited_by_close = False
 
+    def on_status(self, reason_phrase: bytes) -> None:
+        """Add a part of the reason phrase (httptools callback)."""
+        self._reason_phrase += reason_phrase
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header (httptools callback)."""
         assert self._response is not None
@@ -171,6 +198,9 @@
         """Determine framing and reuse of the connection (httptools callback)."""
         assert self._response is not None
         self._response.status = self._parser.get_status_code()
+        if self._contains_status_line(self._response):
+            self._reject("a status line within a line of the head")
+            return
         framed = self._response.status in (204, 304) or self._response.status < 200
         for name, value in self._response.headers:
             lower = name.lower()
@@ -251,6 +281,17 @@
             if name.lower() == b"timeout" and seconds.isdigit():
                 self.idle_timeout = max(0.0, int(seconds) - IDLE_TIMEOUT_MARGIN_SECONDS)
 
+    def _contains_status_line(self, response: Response) -> bool:
+        return STATUS_LINE.search(self._reason_phrase) is not None or any(
+            b"HTTP/" in value and STATUS_LINE.search(value)
+            for _, value in response.headers
+        )
+
+    def _reject(self, detail: str) -> None:
+        """Fail the request that waits, and close the connection."""
+        self._fail(MalformedResponseError(detail))
+        self.close()
+
     def _complete(self) -> None:
         response = self._response
         assert response is not None
--- /dev/null
+++ b/tests/test_mesh_spoiled_answers.py
@@ -0,0 +1,160 @@
+"""Answers of faulty backend servers, which add bytes that belong to no request."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from primroseglade.platform.dialect import PlatformDialect
+from primroseglade.sidecar.backend_dialect import ParsedAnswerHead
+from primroseglade.sidecar.client_connection import (
+    ClientConnection,
+    ExchangeError,
+    Response,
+)
+from primroseglade.sidecar.http_client import ConnectionPool
+
+
+def build_answer(status: str, request_id: str, *lines: str, body: str = "") -> bytes:
+    """Return a complete answer of a backend server."""
+    head = [
+        f"HTTP/1.1 {status}",
+        "Date: Mon, 01 Jan 2024 00:00:00 GMT",
+        f"X-Primroseglade-Request-Id: {request_id}",
+        f"X-Primroseglade-Upstream-Seal: seal-{request_id}",
+        *lines,
+        f"Content-Length: {len(body)}",
+    ]
+    return "\r\n".join([*head, "", body]).encode()
+
+
+FIRST = build_answer("200 OK", "first", "X-Load: 1,0,8", body="paid")
+NOT_EXECUTED = build_answer(
+    "503 Service Unavailable", "first", "X-Primroseglade-Not-Executed: 1"
+)
+BLANK_LINES = b"\r\n\r\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+SECOND = build_answer("500 Internal Server Error", "second", body="failed")
+
+
+EXTRAS = pytest.mark.parametrize(
+    "extra",
+    [FIRST, NOT_EXECUTED, INTERIM, BLANK_LINES],
+    ids=["answer", "rejection", "interim", "blank lines"],
+)
+PARTS_PAUSE_SECONDS = 0.002
+
+
+class FaultyServer:
+    """Sends prepared answers to requests, by the ID in their target.
+
+    Args:
+        answers: Parts of each answer. The node reads each part separately.
+
+    Attributes:
+        connection_count: Number of connections that were opened.
+    """
+
+    def __init__(self, answers: dict[str, list[bytes]]):
+        self._answers = answers
+        self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+        self.connection_count = 0
+
+    async def __aenter__(self) -> "FaultyServer":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        assert self._server is not None
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT`` of the server."""
+        assert self._server is not None
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connection_count += 1
+        self._writers.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                request_id = head.split(b" ")[1].decode().removeprefix("/")
+                for part in self._answers[request_id]:
+                    writer.write(part)
+                    await asyncio.sleep(PARTS_PAUSE_SECONDS)
+
+
+async def exchange(connection: ClientConnection, request_id: str) -> ParsedAnswerHead:
+    """Send a request on a connection and return the head of its answer."""
+    dialect = PlatformDialect()
+
+    def is_own_answer(response: Response) -> bool:
+        return dialect.read_answer(response).request_id == request_id.encode()
+
+    async with asyncio.timeout(1.0):
+        response = await connection.exchange(
+            f"GET /{request_id} HTTP/1.1\r\n\r\n".encode(), is_own_answer
+        )
+    return dialect.read_answer(response)
+
+
+async def check_second_request(answers: dict[str, list[bytes]]) -> FaultyServer:
+    """Send two requests through a pool, and check that the second is answered truly.
+
+    A request that may have run may also get no answer.
+    """
+    async with FaultyServer(answers) as server:
+        pool = ConnectionPool(server.address, 1.0)
+        connection = await pool.acquire()
+        first = await exchange(connection, "first")
+        assert first.head.startswith(b"HTTP/1.1 200 ")
+        pool.release(connection)
+        connection = await pool.acquire()
+        try:
+            second = await exchange(connection, "second")
+            assert second.head.startswith(b"HTTP/1.1 500 ")
+            assert b"seal-first" not in second.head
+            assert not second.not_executed
+        except ExchangeError as error:
+            assert error.sent
+        finally:
+            connection.close()
+    return server
+
+
+@EXTRAS
+@pytest.mark.parametrize("separate", [False, True])
+async def test_bytes_after_an_answer_do_not_reach_the_next_request(
+    extra: bytes, separate: bool
+):
+    """Guards against a failed payment that is answered as a success, and a refusal that
+    denies a run: a second answer that breaks off at any byte gives its status and
+    headers to the answer of the next request.
+    """
+    for cut in range(1, len(extra) + 1):
+        spoiled = [FIRST, extra[:cut]] if separate else [FIRST + extra[:cut]]
+        server = await check_second_request({"first": spoiled, "second": [SECOND]})
+        if not separate and extra != BLANK_LINES:
+            assert server.connection_count == 2, f"reused after {extra[:cut]!r}"
+
+
+@EXTRAS
+@pytest.mark.parametrize("separate", [False, True])
+async def test_late_bytes_do_not_change_the_answer_after_them(
+    extra: bytes, separate: bool
+):
+    """Guards against the same where the bytes arrive after the next request was sent.
+
+    They cannot be told from the beginning of its own answer then.
+    """
+    for cut in range(1, len(extra) + 1):
+        parts = [extra[:cut], SECOND] if separate else [extra[:cut] + SECOND]
+        await check_second_request({"first": [FIRST], "second": parts})
