Reject answers whose head contradicts itself

What callers saw: an answer that bears two request IDs or seals was handed on under the last of them; a success that says that it was not executed counted as a rejection, so that the request could run again elsewhere.

Cause: of several values the last one was taken. Sound backend servers send one; a head put together from a truncated answer and the next one has two.

Change: several different request IDs or seals, and a rejection with a status below 400, make the answer malformed: the request may have run, the connection is closed.

--- a/primroseglade/platform/dialect.py
+++ b/primroseglade/platform/dialect.py
@@ -3,7 +3,7 @@
 import math
 
 from ..sidecar.backend_dialect import ParsedAnswerHead
-from ..sidecar.client_connection import Response
+from ..sidecar.client_connection import MalformedResponseError, Response
 from ..sidecar.frames import Call
 from ..sidecar.health_check import HealthAnswer
 from ..sidecar.http_messages import render_status_line, Reply, Request
@@ -33,6 +33,8 @@
 # of a request that may have run must use another status.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 MAY_HAVE_RUN_STATUS = 502
+# A backend server rejects requests with client and server errors only.
+MIN_REJECTION_STATUS = 400
 # Minimum remaining time sent to the backend server; less would be rounded down to 0.
 # The caller counts from sending and the node from receiving, so the remaining time is
 # inexact by about as much anyway.
@@ -136,21 +138,31 @@
         return b"\r\n".join([line, *hosts])
 
     def read_answer(self, answer: Response) -> ParsedAnswerHead:
-        """Return the fields of a backend server's response, and the head to forward."""
-        request_id = b""
-        signed = not_executed = False
+        """Return the fields of a backend server's response, and the head to forward.
+
+        Raises:
+            MalformedResponseError: The head contradicts itself, as one that was put
+                together from several responses does.
+        """
+        request_ids: set[bytes] = set()
+        signatures: set[bytes] = set()
+        not_executed = False
         dropped = DROPPED_FROM_RESPONSES
         lines = [render_status_line(answer.status)]
         for name, value in answer.headers:
             lower = name.lower()
             if lower == REQUEST_ID:
-                request_id = value
+                request_ids.add(value)
             elif lower == SIGNATURE:
-                signed = True
+                signatures.add(value)
             elif lower == NOT_EXECUTED:
                 not_executed = True
             elif lower == CONNECTION:
                 dropped = dropped | _split_tokens(value)
+        if len(request_ids) > 1 or len(signatures) > 1:
+            raise MalformedResponseError("several request IDs or signatures")
+        if not_executed and answer.status < MIN_REJECTION_STATUS:
+            raise MalformedResponseError(f"not executed, but status {answer.status}")
         lines += [
             b"%b: %b\r\n" % header
             for header in answer.headers
@@ -158,8 +170,8 @@
         ]
         return ParsedAnswerHead(
             b"".join(lines),
-            request_id,
-            signed,
+            request_ids.pop() if request_ids else b"",
+            bool(signatures),
             not_executed,
             read_statements(answer.headers),
         )
--- a/primroseglade/sidecar/backend_dialect.py
+++ b/primroseglade/sidecar/backend_dialect.py
@@ -52,7 +52,11 @@
         """Return the parts of a call's head that all attempts of a request share."""
 
     def read_answer(self, answer: Response) -> ParsedAnswerHead:
-        """Parse a backend server's answer."""
+        """Parse a backend server's answer.
+
+        Raises:
+            MalformedResponseError: The head contradicts itself.
+        """
 
 
 class ServedAnswer:
--- a/primroseglade/sidecar/client_connection.py
+++ b/primroseglade/sidecar/client_connection.py
@@ -246,7 +246,8 @@
 
         Args:
             request: Head and body.
-            accept: Returns whether a response belongs to this request.
+            accept: Returns whether a response belongs to this request; raises
+                ``MalformedResponseError`` if that cannot be told.
             head_only: Whether the request is a HEAD, whose response has no body.
 
         Raises:
@@ -304,7 +305,13 @@
         chunks = self._chunks
         response.body = chunks[0] if len(chunks) == 1 else b"".join(chunks)
         self._chunks = []
-        if self._accept is not None and not self._accept(response):
+        try:
+            is_own = self._accept is None or self._accept(response)
+        except MalformedResponseError as error:
+            self._fail(error)
+            self.close()
+            return
+        if not is_own:
             # Not the response to this request; keep waiting for that one.
             self._reusable = False
             return
--- a/tests/test_mesh_spoiled_answers.py
+++ b/tests/test_mesh_spoiled_answers.py
@@ -158,3 +158,24 @@
     for cut in range(1, len(extra) + 1):
         parts = [extra[:cut], SECOND] if separate else [extra[:cut] + SECOND]
         await check_second_request({"first": [FIRST], "second": parts})
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ["X-Primroseglade-Request-Id: other"],
+        ["X-Primroseglade-Upstream-Seal: seal-other"],
+        ["X-Primroseglade-Not-Executed: 1"],
+    ],
+)
+async def test_head_that_contradicts_itself_is_no_answer(lines: list[str]):
+    """Guards against a success with the ID, the seal or the verdict of another answer:
+    of several the last one was taken.
+    """
+    answer = build_answer("200 OK", "second", *lines, body="paid")
+    async with FaultyServer({"second": [answer]}) as server:
+        connection = await ConnectionPool(server.address, 1.0).acquire()
+        with pytest.raises(ExchangeError) as error_info:
+            await exchange(connection, "second")
+    assert error_info.value.sent
+    assert not connection.reusable
