Drop trailers of backend servers' answers

What callers saw: nothing yet; a trailer could add a seal, a request ID, a limit, a drain or the statement that the request was not executed, after the head had been read without them.

Cause: the parser reports trailers like headers, and they were added to the head.

Change: headers that follow the end of the head are dropped (RFC 9110, section 6.5.1).

Result: the test failed before and passes now.

--- a/primroseglade/sidecar/client_connection.py
+++ b/primroseglade/sidecar/client_connection.py
@@ -91,6 +91,7 @@
         "_chunks",
         "_closed_here",
         "_delimited_by_close",
+        "_head_complete",
         "_head_only",
         "_loop",
         "_on_lost",
@@ -117,6 +118,7 @@
         self._pending: asyncio.Future[Response] | None = None
         self._accept: ResponseFilter | None = None
         self._reusable = True
+        self._head_complete = False
         self._head_only = False
         self._delimited_by_close = False
         self.idle_since = 0.0
@@ -180,6 +182,7 @@
             # would take the next response for the rest of it.
             self._reusable = False
         self._response = Response(0, [])
+        self._head_complete = False
         self._reason_phrase = b""
         self._chunks = []
         self._body_bytes = 0
@@ -190,13 +193,19 @@
         self._reason_phrase += reason_phrase
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header (httptools callback)."""
+        """Add a header, but no trailer (httptools callback).
+
+        Trailers must not be taken for headers (RFC 9110, section 6.5.1): they could add
+        a signature, or the statement that the request was not executed.
+        """
         assert self._response is not None
-        self._response.headers.append((name, value))
+        if not self._head_complete:
+            self._response.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Determine framing and reuse of the connection (httptools callback)."""
         assert self._response is not None
+        self._head_complete = True
         self._response.status = self._parser.get_status_code()
         if self._contains_status_line(self._response):
             self._reject("a status line within a line of the head")
--- a/tests/test_mesh_spoiled_answers.py
+++ b/tests/test_mesh_spoiled_answers.py
@@ -13,6 +13,7 @@
     Response,
 )
 from primroseglade.sidecar.http_client import ConnectionPool
+from primroseglade.sidecar.statements import NO_STATEMENTS
 
 
 def build_answer(status: str, request_id: str, *lines: str, body: str = "") -> bytes:
@@ -179,3 +180,30 @@
             await exchange(connection, "second")
     assert error_info.value.sent
     assert not connection.reusable
+
+
+TRAILERS = (
+    "X-Primroseglade-Request-Id: other",
+    "X-Primroseglade-Upstream-Seal: seal-other",
+    "X-Primroseglade-Not-Executed: 1",
+    "Server-Limit: 1",
+    "Server-Leaving: 1",
+)
+
+
+async def test_trailers_do_not_change_the_head():
+    """Guards against a trailer that adds a seal, a limit, a drain or the verdict that
+    the request was not executed.
+    """
+    head = (
+        "HTTP/1.1 500 Internal Server Error\r\nX-Primroseglade-Request-Id: second\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nfail\r\n0\r\n"
+    )
+    answer = "\r\n".join([head + TRAILERS[0], *TRAILERS[1:], "", ""]).encode()
+    async with FaultyServer({"second": [answer]}) as server:
+        connection = await ConnectionPool(server.address, 1.0).acquire()
+        second = await exchange(connection, "second")
+        connection.close()
+    assert (second.request_id, second.signed) == (b"second", False)
+    assert not second.not_executed
+    assert second.statements is NO_STATEMENTS
