Keep drains by lifetime, not by instance ID

What callers saw: requests reached a backend server up to 10 s after its leaving had been acknowledged, and some were lost when it exited.

Cause: a backend server may start again under its ID. Which drains the store has was kept by ID: the second leaving was acknowledged without being written or told to a peer. After a kill of the node, a report sent before the leaving made the server available again. The write of the first drain, while it is repeated, also kept that of the second one from starting; at peers an older record replaced a newer one, and recording an ID again evicted another.

Change: DrainedLifetimes keeps the newest drained start of each ID; a drain covers that lifetime and all earlier ones, in whatever order drains are learned of. Backend, registration and peers use it. One write an ID runs at a time and takes the newest lifetime. A leave of a lifetime that no report has named yet binds as well.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -18,6 +18,7 @@
 from .call_ratios import CallRatioEstimator
 from .client_connection import ExchangeError, Response
 from .cold_tracker import ColdTracker
+from .drained_lifetimes import DrainedLifetimes
 from .failure_ratio import FailureRatio
 from .frames import Call
 from .http_client import ConnectionPool
@@ -46,6 +47,8 @@
 # Maximum delay of a status report. The first report of a backend server may arrive this
 # long after a request to drain it.
 MAX_REPORT_DELAY_SECONDS = 10.0
+# Drains of backend servers elsewhere are remembered too, as peers relay them.
+MAX_DRAINED_INSTANCES = 4096
 # Status of an answer from another instance than the call names.
 MISDIRECTED_STATUS = 421
 EVACUATED_DETAIL = "the backend server's zone is evacuated"
@@ -101,9 +104,8 @@
         self._broadcast_state = broadcast_state
         self._persist_drain = persist_drain
         self._report: StatusReport | None = None
-        # Start time in ms of the drained incarnation, by instance ID; 0 until a drain
-        # request or a report names it.
-        self._drained_start_times: dict[str, int] = {}
+        # The start time is 0 until a drain request or a report names it.
+        self._drained = DrainedLifetimes(MAX_DRAINED_INSTANCES)
         # By instance ID: a drain request that names no start time applies to the first
         # incarnation whose report arrives before this time.
         self._unspecified_drain_until: dict[str, float] = {}
@@ -338,13 +340,14 @@
 
         A pending drain request without a start time is bound to this incarnation.
         """
-        if report.instance not in self._drained_start_times:
+        instance, start_time_ms = report.instance, report.start_time_ms
+        drain_until = self._unspecified_drain_until.pop(instance, 0.0)
+        # The drain request arrived before the first report of this incarnation.
+        is_unspecified = time.monotonic() < drain_until
+        if not is_unspecified and not self._drained.covers(instance, start_time_ms):
             return False
-        if time.monotonic() < self._unspecified_drain_until.get(report.instance, 0.0):
-            # The drain request arrived before the first report of this incarnation.
-            self._drained_start_times[report.instance] = report.start_time_ms
-            del self._unspecified_drain_until[report.instance]
-        return self._drained_start_times[report.instance] == report.start_time_ms
+        self._drained.add(instance, start_time_ms)
+        return True
 
     def drain(self, instance: str, start_time_ms: int, source: str = "report") -> None:
         """Send no further calls to a backend server that is being drained.
@@ -361,19 +364,22 @@
         last_report = self._report
         if last_report is not None and last_report.instance == instance:
             start_time_ms = start_time_ms or last_report.start_time_ms
-            if not self._draining:
-                self._journal.emit(BACKEND_DRAINING, backend=instance, source=source)
-            if start_time_ms == last_report.start_time_ms:
-                self._draining = True
+            if start_time_ms >= last_report.start_time_ms:
+                self._start_draining(instance, source)
             self._newest_drained_start_ms = max(
                 self._newest_drained_start_ms, start_time_ms
             )
-        self._drained_start_times[instance] = start_time_ms
+        self._drained.add(instance, start_time_ms)
         if not start_time_ms:
             self._unspecified_drain_until[instance] = (
                 time.monotonic() + MAX_REPORT_DELAY_SECONDS
             )
 
+    def _start_draining(self, instance: str, source: str) -> None:
+        if not self._draining:
+            self._journal.emit(BACKEND_DRAINING, backend=instance, source=source)
+        self._draining = True
+
     async def serve(self, call: Call, remaining: float) -> ServedAnswer:
         """Run a call on the backend server.
 
@@ -477,7 +483,7 @@
 
     def _record_stated_drain(self, instance: str, start_time_ms: int) -> None:
         """Drain a backend server that states in an answer that it is about to stop."""
-        if self._drained_start_times.get(instance) == start_time_ms:
+        if self._drained.covers(instance, start_time_ms):
             return
         had_instance = bool(self.instance)
         self.drain(instance, start_time_ms, "answer")
--- a/primroseglade/sidecar/backend_registration.py
+++ b/primroseglade/sidecar/backend_registration.py
@@ -10,6 +10,7 @@
 from ..observe.events import Journal, STORE_WRITE_FAILED
 from ..supervisor import Supervisor
 from .backend import Backend
+from .drained_lifetimes import DrainedLifetimes
 from .fleet import Fleet
 from .model import BackendState, StatusReport
 from .node_store import NodeStore
@@ -26,6 +27,8 @@
 STORE_TIMEOUT_SECONDS = 1.5
 # Maximum number of drains that a node records for others; the oldest are evicted.
 MAX_RECORDED_DRAINS = 512
+# Lifetimes of the local backend server whose drains the store has.
+MAX_STORED_DRAINS = 64
 
 
 class BackendRegistration:
@@ -67,13 +70,15 @@
         self._rng = rng
         self._broadcast_state = broadcast_state
         self._drains_loaded = first_start
-        self._stored_drain_instances: set[str] = set()
-        self._recorded_drains: dict[str, int] = {}
+        self._stored = DrainedLifetimes(MAX_STORED_DRAINS)
+        # Start times of drains that are being written to the store, by instance ID.
+        self._unstored_start_times: dict[str, int] = {}
+        self._recorded = DrainedLifetimes(MAX_RECORDED_DRAINS)
 
     @property
     def recorded_drains(self) -> dict[str, int]:
         """Draining backend servers of other nodes: start times (Unix ms) by id."""
-        return self._recorded_drains
+        return self._recorded.start_times
 
     def record_drain(self, instance: str, start_time_ms: int) -> None:
         """Record that another node's backend server is draining.
@@ -82,9 +87,7 @@
             instance: Id of the backend server.
             start_time_ms: Unix time of its start, in milliseconds.
         """
-        while len(self._recorded_drains) >= MAX_RECORDED_DRAINS:
-            self._recorded_drains.pop(next(iter(self._recorded_drains)))
-        self._recorded_drains[instance] = start_time_ms
+        self._recorded.add(instance, start_time_ms)
 
     def apply_drains(self, drains: dict[str, int]) -> None:
         """Drain the local backend server if the store or a peer has recorded its drain.
@@ -103,9 +106,9 @@
     async def handle_report(self, report: StatusReport) -> bool:
         """Apply a status report; return whether to acknowledge it."""
         previous_instance = self._backend.instance
+        is_draining = report.state is BackendState.DRAINING
         if not previous_instance and not self._drains_loaded:
             await self._load_drains()
-        is_draining = report.state is BackendState.DRAINING
         if self._backend.is_stale(report):
             if is_draining:
                 # The stale report is acknowledged below, so its drain must take effect.
@@ -126,12 +129,11 @@
             start_time_ms: Unix time of its start, in milliseconds; 0 if unknown.
         """
         previous_instance = self._backend.instance
+        start_time_ms = start_time_ms or self._backend.start_time_ms
         self._backend.drain(instance, start_time_ms)
         if previous_instance and not self._backend.instance:
             self._broadcast_state()
-        return await self._persist_drain(
-            instance, start_time_ms or self._backend.start_time_ms
-        )
+        return await self._persist_drain(instance, start_time_ms)
 
     def persist_stated_drain(self, instance: str, start_time_ms: int) -> None:
         """Persist a drain that the backend server stated in an answer.
@@ -141,7 +143,7 @@
             start_time_ms: Unix time of its start, in milliseconds.
         """
         self._supervisor.start_once(
-            f"stated drain of {instance}",
+            f"stated drain of {instance} started at {start_time_ms}",
             lambda: self._persist_drain(instance, start_time_ms),
         )
 
@@ -158,10 +160,10 @@
 
     async def _persist_drain(self, instance: str, start_time_ms: int) -> bool:
         """Persist a drain; return whether the store or a peer has recorded it."""
-        if instance in self._stored_drain_instances:
+        if self._stored.covers(instance, start_time_ms):
             return True
-        self._supervisor.start_once(
-            f"drain of {instance}", lambda: self._write_drain(instance, start_time_ms)
+        self._unstored_start_times[instance] = max(
+            start_time_ms, self._unstored_start_times.get(instance, 0)
         )
         peers = self._fleet.list_connected()
         self._rng.shuffle(peers)
@@ -173,23 +175,29 @@
         ]
         try:
             async with asyncio.timeout(ACK_TIMEOUT_SECONDS):
-                while instance not in self._stored_drain_instances:
+                while not self._stored.covers(instance, start_time_ms):
+                    self._supervisor.start_once(
+                        f"drain of {instance}", lambda: self._write_drain(instance)
+                    )
                     await asyncio.sleep(STORED_DRAIN_POLL_SECONDS)
         except TimeoutError:
             # The write continues in the background until the store accepts it.
             pass
         results = await asyncio.gather(*replication_tasks, return_exceptions=True)
         is_replicated = any(not isinstance(result, BaseException) for result in results)
-        return is_replicated or instance in self._stored_drain_instances
+        return is_replicated or self._stored.covers(instance, start_time_ms)
 
-    async def _write_drain(self, instance: str, start_time_ms: int) -> None:
-        while True:
+    async def _write_drain(self, instance: str) -> None:
+        """Write the drain of an instance's newest lifetime until the store has it."""
+        while (start_time_ms := self._unstored_start_times.get(instance)) is not None:
             try:
                 await self._store.write_drain(
                     instance, start_time_ms, STORE_TIMEOUT_SECONDS
                 )
-                self._stored_drain_instances.add(instance)
-                return
             except StoreError as error:
                 self._journal.emit(STORE_WRITE_FAILED, what="drain", error=str(error))
-            await asyncio.sleep(STORE_RETRY_SECONDS)
+                await asyncio.sleep(STORE_RETRY_SECONDS)
+                continue
+            self._stored.add(instance, start_time_ms)
+            if self._unstored_start_times[instance] == start_time_ms:
+                del self._unstored_start_times[instance]
--- a/primroseglade/sidecar/node_store.py
+++ b/primroseglade/sidecar/node_store.py
@@ -24,7 +24,10 @@
         """Record a backend server as draining; ``start_time_ms`` is a Unix time."""
 
     async def list_drains(self, timeout: float) -> dict[str, int]:
-        """Return start times in Unix ms of draining backend servers, by instance id."""
+        """Return the latest start times in Unix ms of draining backend servers, by id.
+
+        A drain covers the lifetime that started then, and all earlier ones.
+        """
 
     async def close(self) -> None:
         """Close the connections to the store."""
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -9,6 +9,7 @@
 from ..verdicts import may_have_run, not_run, Reason
 from .call_refusals import is_due_to_request, read_message
 from .clock import read_age_clock
+from .drained_lifetimes import DrainedLifetimes
 from .frames import (
     Call,
     CallAnswer,
@@ -54,6 +55,8 @@
 # A node that is unreachable for this long is removed. Restarts and network partitions
 # are shorter; a node that returns later announces itself with a Hello.
 PEER_EXPIRY_SECONDS = 120.0
+# One node has one backend server at a time; the drains of its last ones may be needed.
+MAX_DRAINED_INSTANCES = 16
 
 
 class Peer:
@@ -73,9 +76,8 @@
         self._slowdown = 1.0
         self._slowdown_at = 0.0
         self._cold_until = 0.0
-        # Start times of backend servers that stated in answers to this node that they
-        # are about to stop, by instance ID.
-        self._drained_start_times: dict[str, int] = {}
+        # Backend servers that stated in answers to this node that they will stop.
+        self._drained = DrainedLifetimes(MAX_DRAINED_INSTANCES)
         #: Fraction of failed calls: as last reported, then updated by each call sent.
         self.failure_ratio = 0.0
         self._host = host
@@ -114,12 +116,7 @@
         Its node does not know of that if it was killed just after it passed on the
         answer.
         """
-        if not self._drained_start_times:
-            return False
-        start_time_ms = self._drained_start_times.get(self.state.instance)
-        return start_time_ms is not None and (
-            self.state.start_time_ms in (0, start_time_ms)
-        )
+        return self._drained.covers(self.state.instance, self.state.start_time_ms)
 
     @property
     def start_rate(self) -> float:
@@ -231,7 +228,7 @@
             self.record_in_flight(reply.in_flight)
             self._record_slowdown(reply.slowdown_percent)
             if reply.draining:
-                self._drained_start_times[call.instance] = reply.start_time_ms
+                self._drained.add(call.instance, reply.start_time_ms)
             return reply
         assert isinstance(reply, CallRefused)
         self.record_in_flight(reply.in_flight)
--- a/primroseglade/stand_ins/mesh_backend.py
+++ b/primroseglade/stand_ins/mesh_backend.py
@@ -154,7 +154,8 @@
 
     async def deregister(self) -> int:
         """Deregister from the node; return the response status, 0 for no response."""
-        return await self.send_control_request("DELETE", b"")
+        body = json.dumps({"born": self.start_time_ms}).encode()
+        return await self.send_control_request("DELETE", body)
 
     async def send_control_request(self, method: str, body: bytes) -> int:
         """Send a control request and return the response status, 0 for no response."""
--- /dev/null
+++ b/tests/test_mesh_drains.py
@@ -0,0 +1,84 @@
+"""Drains of backend servers over restarts, of theirs and of nodes."""
+
+import asyncio
+
+from hypothesis import given, strategies
+
+from primroseglade.sidecar.drained_lifetimes import DrainedLifetimes
+
+from .mesh import Mesh, MeshInstance
+
+
+async def wait_until(condition, seconds: float = 5.0) -> None:
+    """Wait until a function returns a true value."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def stop_reports(instance: MeshInstance) -> None:
+    """Have the backend server send no reports but those of the test."""
+    assert instance.backend_task is not None
+    instance.backend_task.cancel()
+
+
+async def start_again(instance: MeshInstance) -> None:
+    """Start the backend server again under its ID, and report it."""
+    instance.backend.start_time_ms += 1000
+    instance.backend._sequence = 0
+    assert await instance.backend.report_status() == 200
+    assert instance.node.backend.instance == instance.backend.instance
+
+
+async def restart_node(instance: MeshInstance) -> None:
+    """Kill a node and wait until it serves again."""
+    await instance.kill_node()
+    instance.restart_node(first_start=False)
+    await wait_until(lambda: instance.node.ready)
+
+
+async def test_second_leave_under_one_id_survives_a_node_restart(mesh: Mesh):
+    """Guards against requests to a backend server that has left for the second time
+    under its ID: its drain was acknowledged, and neither written nor told to peers.
+    """
+    instance = mesh.instances[1]
+    stop_reports(instance)
+    assert await instance.backend.deregister() == 200
+    await start_again(instance)
+    assert await instance.backend.deregister() == 200
+    await restart_node(instance)
+    await instance.backend.report_status()
+    assert instance.node.backend.instance == ""
+
+
+async def test_leave_before_the_report_of_its_lifetime_binds(mesh: Mesh):
+    """Guards against requests to a restarted backend server that leaves before its node
+    has any report of it: the last report was that of the former lifetime.
+    """
+    instance = mesh.instances[1]
+    stop_reports(instance)
+    instance.backend.start_time_ms += 1000
+    assert await instance.backend.deregister() == 200
+    assert instance.node.backend.instance == ""
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(strategies.sampled_from("abcd"), strategies.integers(0, 9)),
+        min_size=1,
+    )
+)
+def test_older_drains_take_nothing_back(drains: list[tuple[str, int]]):
+    """Guards against a drain that is lost since one of an earlier lifetime arrives
+    after it, or since an instance that is recorded already takes the place of another.
+    """
+    lifetimes = DrainedLifetimes(capacity=3)
+    for instance, start_time_ms in drains:
+        lifetimes.add(instance, start_time_ms)
+        assert lifetimes.covers(instance, start_time_ms)
+        assert len(lifetimes.start_times) <= 3
+    latest = {instance: 0 for instance, _ in drains}
+    for instance, start_time_ms in drains:
+        latest[instance] = max(latest[instance], start_time_ms)
+    if len(latest) <= 3:
+        assert lifetimes.start_times == latest
