Read stored drains before the first report, whatever peers say

Cause: the first Hello of any peer marked drains as loaded. After a restart of all nodes the peers know none, and the store, which has the drain, was not read. If the store did not answer the first read, it was not read again.

A drain that is read late is applied then.

One read of the store more a restart of a node that got a Hello first.

--- a/primroseglade/sidecar/backend_registration.py
+++ b/primroseglade/sidecar/backend_registration.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -69,7 +70,9 @@
         self._journal = journal
         self._rng = rng
         self._broadcast_state = broadcast_state
-        self._drains_loaded = first_start
+        self._drains_loaded = asyncio.Event()
+        if first_start:
+            self._drains_loaded.set()
         self._stored = DrainedLifetimes(MAX_STORED_DRAINS)
         # Start times of drains that are being written to the store, by instance ID.
         self._unstored_start_times: dict[str, int] = {}
@@ -99,7 +102,6 @@
             drains: Start times in Unix milliseconds, by instance id. A backend server
                 that was started later under the same id is not drained.
         """
-        self._drains_loaded = True
         for instance, start_time_ms in drains.items():
             self._backend.drain(instance, start_time_ms, "record")
 
@@ -107,8 +109,8 @@
         """Apply a status report; return whether to acknowledge it."""
         previous_instance = self._backend.instance
         is_draining = report.state is BackendState.DRAINING
-        if not previous_instance and not self._drains_loaded:
-            await self._load_drains()
+        if not self._backend.lifetime[0] and not is_draining:
+            await self._wait_for_stored_drains()
         if self._backend.is_stale(report):
             if is_draining:
                 # The stale report is acknowledged below, so its drain must take effect.
@@ -147,16 +149,33 @@
             lambda: self._persist_drain(instance, start_time_ms),
         )
 
-    async def _load_drains(self) -> None:
-        try:
-            drains = await self._store.list_drains(ACK_TIMEOUT_SECONDS)
-        except StoreError as error:
-            # Handle the report without the stored drains. Drains that peers have
-            # recorded still arrive: each peer sends them in its Hello when this node
-            # opens a stream to it. A drain that only the store has recorded is missed.
-            self._journal.emit(STORE_WRITE_FAILED, what="drains", error=str(error))
+    async def _wait_for_stored_drains(self) -> None:
+        """Wait for the drains that the store has, unless it does not answer in time.
+
+        What peers have recorded does not replace them: after a restart of all nodes,
+        no peer has any. Without an answer the report is handled first; the drains are
+        applied once they are read.
+        """
+        if self._drains_loaded.is_set():
             return
-        self.apply_drains(drains)
+        self._supervisor.start_once("stored drains", self._load_drains)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ACK_TIMEOUT_SECONDS):
+                await self._drains_loaded.wait()
+
+    async def _load_drains(self) -> None:
+        while not self._drains_loaded.is_set():
+            try:
+                drains = await self._store.list_drains(STORE_TIMEOUT_SECONDS)
+            except StoreError as error:
+                self._journal.emit(STORE_WRITE_FAILED, what="drains", error=str(error))
+                await asyncio.sleep(STORE_RETRY_SECONDS)
+                continue
+            previous_instance = self._backend.instance
+            self.apply_drains(drains)
+            self._drains_loaded.set()
+            if previous_instance and not self._backend.instance:
+                self._broadcast_state()
 
     async def _persist_drain(self, instance: str, start_time_ms: int) -> bool:
         """Persist a drain; return whether the store or a peer has recorded it."""
--- a/tests/test_mesh_drains.py
+++ b/tests/test_mesh_drains.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, strategies
 
+from primroseglade.sidecar.backend_registration import STORE_RETRY_SECONDS
 from primroseglade.sidecar.drained_lifetimes import DrainedLifetimes
 
 from .mesh import Mesh, MeshInstance
@@ -51,6 +52,60 @@
     assert instance.node.backend.instance == ""
 
 
+async def test_drain_survives_a_restart_of_all_nodes(mesh: Mesh):
+    """Guards against requests to a backend server whose drain only the store has: peers
+    that know no drains introduced themselves before its first report arrived.
+    """
+    instance = mesh.instances[1]
+    stop_reports(instance)
+    assert await instance.backend.deregister() == 200
+    for each in mesh.instances:
+        await each.kill_node()
+    for each in mesh.instances:
+        each.restart_node(first_start=False)
+    await wait_until(lambda: len(instance.node.fleet.list_connected()) == 2)
+    await wait_until(lambda: instance.node.ready)
+    await instance.backend.report_status()
+    assert instance.node.backend.instance == ""
+
+
+async def test_stored_drains_are_read_once_the_store_answers_again(mesh: Mesh):
+    """Guards against drains that are never read, as the store was down at the first
+    report after the restart of the node.
+    """
+    instance = mesh.instances[1]
+    stop_reports(instance)
+    assert await instance.backend.deregister() == 200
+    for each in mesh.instances:
+        each.node.registration.recorded_drains.clear()
+    await instance.kill_node()
+    mesh.store.faults.error_status = 503
+    instance.restart_node(first_start=False)
+    await wait_until(lambda: instance.node.ready)
+    await instance.backend.report_status()
+    mesh.store.faults.error_status = 0
+    await wait_until(lambda: instance.node.backend.instance == "")
+
+
+async def test_leave_is_stored_while_the_one_before_it_is_not(mesh: Mesh):
+    """Guards against a second drain that is not written, as the write of the first one
+    is still being repeated.
+    """
+    instance = mesh.instances[1]
+    stop_reports(instance)
+    mesh.store.faults.error_status = 503
+    assert await instance.backend.deregister() == 200
+    await start_again(instance)
+    assert await instance.backend.deregister() == 200
+    mesh.store.faults.error_status = 0
+    await asyncio.sleep(STORE_RETRY_SECONDS + 0.5)
+    for each in mesh.instances:
+        each.node.registration.recorded_drains.clear()
+    await restart_node(instance)
+    await instance.backend.report_status()
+    assert instance.node.backend.instance == ""
+
+
 async def test_leave_before_the_report_of_its_lifetime_binds(mesh: Mesh):
     """Guards against requests to a restarted backend server that leaves before its node
     has any report of it: the last report was that of the former lifetime.
