Store drains under a key for each lifetime

What callers saw: nothing yet; a drain could vanish from the store.

Cause: the store keeps the newest record of a key, and drains had the instance ID as theirs. A write without a response may be carried out seconds later, also after that of the next lifetime, which it replaced.

Change: the key names the lifetime. Records of earlier versions are still read; an earlier version that takes over from this one knows a drain from its peers only.

Result: the test failed before and passes now.

--- a/primroseglade/platform/store.py
+++ b/primroseglade/platform/store.py
@@ -162,18 +162,26 @@
         Raises:
             StoreError: The write was not confirmed; it may have succeeded.
         """
-        await self._write(DRAINS_TOPIC, instance, str(start_time_ms).encode(), timeout)
+        # One key for each lifetime: the store may carry out an older write, whose
+        # response was lost, after a newer one.
+        key = f"{instance}/{start_time_ms}"
+        await self._write(DRAINS_TOPIC, key, str(start_time_ms).encode(), timeout)
 
     async def list_drains(self, timeout: float) -> dict[str, int]:
-        """Return the start times of draining backend servers, in Unix ms, by id.
+        """Return the latest start times of draining backend servers, in Unix ms, by id.
 
         Raises:
             StoreError: The store gave no valid response.
         """
         newest = await self._read_newest_items(DRAINS_TOPIC, timeout)
-        return {
-            item.key: int(item.value) for item in newest.items if item.value.isdigit()
-        }
+        start_times: dict[str, int] = {}
+        for item in newest.items:
+            if not item.value.isdigit():
+                continue
+            # Keys of earlier versions are the instance ID alone.
+            instance = item.key.removesuffix(f"/{item.value.decode()}")
+            start_times[instance] = max(int(item.value), start_times.get(instance, 0))
+        return start_times
 
     async def close(self) -> None:
         """Close idle connections."""
--- a/tests/test_mesh_drains.py
+++ b/tests/test_mesh_drains.py
@@ -106,6 +106,18 @@
     assert instance.node.backend.instance == ""
 
 
+async def test_older_write_that_arrives_late_does_not_undo_a_drain(mesh: Mesh):
+    """Guards against a write whose response was lost, and which the store carries out
+    after that of the next lifetime.
+    """
+    instance = mesh.instances[1]
+    stop_reports(instance)
+    name = instance.backend.instance
+    await instance.node._store.write_drain(name, 2000, 1.0)
+    await instance.node._store.write_drain(name, 1000, 1.0)
+    assert (await instance.node._store.list_drains(1.0))[name] == 2000
+
+
 async def test_leave_before_the_report_of_its_lifetime_binds(mesh: Mesh):
     """Guards against requests to a restarted backend server that leaves before its node
     has any report of it: the last report was that of the former lifetime.
