Acknowledge no drain that has no effect

What callers saw: nothing yet; requests could reach a backend server after its leaving had been acknowledged.

Cause: two kinds of drains were acknowledged and did nothing. One names an earlier start than the one reported: it is late, or the clock was set back before the process started. The other names no start and comes before any report of its instance: it was recorded under the start of the instance before it, or under none.

Change: a deregistration with an earlier start suspends calls until the reported lifetime reports again; a draining report with an earlier start is not acknowledged. A deregistration without a start covers all lifetimes up to now.

Not mended: a process whose start lies before that of its former lifetime gets no calls, as its reports count as outdated.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -375,6 +375,16 @@
                 time.monotonic() + MAX_REPORT_DELAY_SECONDS
             )
 
+    def suspend(self) -> None:
+        """Accept no calls until the reported incarnation reports again.
+
+        For a deregistration that names an earlier start of the same instance: it is
+        either late, or the clock was set back before the process started that sent it.
+        Only a late one is followed by reports of the later start.
+        """
+        if self._report is not None:
+            self._start_draining(self._report.instance, "report")
+
     def _start_draining(self, instance: str, source: str) -> None:
         if not self._draining:
             self._journal.emit(BACKEND_DRAINING, backend=instance, source=source)
--- a/primroseglade/sidecar/backend_registration.py
+++ b/primroseglade/sidecar/backend_registration.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import random
+import time
 from collections.abc import Callable
 
 from ..observe.events import Journal, STORE_WRITE_FAILED
@@ -113,6 +114,9 @@
             await self._wait_for_stored_drains()
         if self._backend.is_stale(report):
             if is_draining:
+                if self._is_earlier_lifetime(report.instance, report.start_time_ms):
+                    # The drain would have no effect on the lifetime in use.
+                    return False
                 # The stale report is acknowledged below, so its drain must take effect.
                 self._backend.drain(report.instance, report.start_time_ms)
         elif not self._backend.apply_report(report):
@@ -131,8 +135,11 @@
             start_time_ms: Unix time of its start, in milliseconds; 0 if unknown.
         """
         previous_instance = self._backend.instance
-        start_time_ms = start_time_ms or self._backend.start_time_ms
+        if not start_time_ms:
+            start_time_ms = self._estimate_start_time(instance)
         self._backend.drain(instance, start_time_ms)
+        if self._is_earlier_lifetime(instance, start_time_ms):
+            self._backend.suspend()
         if previous_instance and not self._backend.instance:
             self._broadcast_state()
         return await self._persist_drain(instance, start_time_ms)
@@ -149,6 +156,21 @@
             lambda: self._persist_drain(instance, start_time_ms),
         )
 
+    def _estimate_start_time(self, instance: str) -> int:
+        """Return the reported start of an instance in Unix ms; now if there is none.
+
+        A drain covers all lifetimes that began up to the time that it names.
+        """
+        reported_instance, reported_start_ms = self._backend.lifetime
+        if instance == reported_instance:
+            return reported_start_ms
+        return int(time.time() * 1000)
+
+    def _is_earlier_lifetime(self, instance: str, start_time_ms: int) -> bool:
+        """Return whether the reported process has replaced a lifetime of its ID."""
+        reported_instance, reported_start_ms = self._backend.lifetime
+        return instance == reported_instance and start_time_ms < reported_start_ms
+
     async def _wait_for_stored_drains(self) -> None:
         """Wait for the drains that the store has, unless it does not answer in time.
 
--- a/tests/test_mesh_drains.py
+++ b/tests/test_mesh_drains.py
@@ -7,7 +7,7 @@
 from primroseglade.sidecar.backend_registration import STORE_RETRY_SECONDS
 from primroseglade.sidecar.drained_lifetimes import DrainedLifetimes
 
-from .mesh import Mesh, MeshInstance
+from .mesh import build_configuration, Mesh, MeshInstance, PATHS, run_mesh, send_request
 
 
 async def wait_until(condition, seconds: float = 5.0) -> None:
@@ -129,6 +129,60 @@
     assert instance.node.backend.instance == ""
 
 
+async def test_leave_binds_after_the_clock_was_set_back(mesh: Mesh):
+    """Guards against an acknowledged leave without effect: the clock was set back, so
+    that the start of the process lies before that of its former lifetime.
+    """
+    instance = mesh.instances[1]
+    stop_reports(instance)
+    instance.backend.start_time_ms = 2000
+    assert await instance.backend.report_status() == 200
+    instance.backend.start_time_ms = 1000
+    assert await instance.backend.deregister() == 200
+    assert instance.node.backend.instance == ""
+    answer = await send_request(mesh.instances[0], "/deep/a")
+    assert answer.status == 200
+    assert not instance.backend.executed_request_ids
+
+    # The leave was that of an earlier lifetime after all: the later one reports.
+    instance.backend.start_time_ms = 2000
+    assert await instance.backend.report_status() == 200
+    assert instance.node.backend.instance == instance.backend.instance
+
+
+async def test_drain_without_effect_is_not_acknowledged(mesh: Mesh):
+    """Guards against a promise that is not kept: a report says that an earlier lifetime
+    drains, and the one in use goes on.
+    """
+    instance = mesh.instances[1]
+    stop_reports(instance)
+    instance.backend.start_time_ms = 2000
+    assert await instance.backend.report_status() == 200
+    instance.backend.start_time_ms = 1000
+    instance.backend.state = "draining"
+    assert await instance.backend.report_status() == 503
+    assert instance.node.backend.instance == instance.backend.instance
+
+
+async def test_leave_without_a_start_time_survives_restarts():
+    """Guards against a leave that names no start and arrives before any report: it is
+    recorded under the start of another instance, or under none.
+    """
+    mesh = Mesh()
+    for service in ("front", "deep", "deep"):
+        mesh.add(service)
+    mesh.store.publish(build_configuration(1, *PATHS))
+    async with run_mesh(mesh):
+        instance = mesh.instances[1]
+        stop_reports(instance)
+        instance.backend.instance = "i-next"
+        instance.backend.start_time_ms += 1000
+        assert await instance.backend.send_control_request("DELETE", b"") == 200
+        await restart_node(instance)
+        await instance.backend.report_status()
+        assert instance.node.backend.instance == ""
+
+
 @given(
     strategies.lists(
         strategies.tuples(strategies.sampled_from("abcd"), strategies.integers(0, 9)),
