Wait for answers that are still being read before a node ends

What callers saw: a node that was told to stop exited with 2.7 s of grace left, and each of five callers on slow links got 619 kB of an answer of 750 kB to a request that it can't repeat.

Cause: an answer counted as in flight until it was handed to the transport. What the process still held of it for a slow reader, on kept connections and on lingering ones, was dropped when the loop ended. Answers on streams that the other node has not read, and the backend server's reports, were not counted either.

Change: a connection is busy while this process holds unsent bytes; a stream tells whether it holds unsent answers (its other frames keep nobody waiting); requests at the control address count. The time for which a connection lingers or idles begins when its bytes are sent.

A caller who never reads holds a node until 0.85 s before the end of grace, as a request does; idle connections hold nothing.

--- a/primroseglade/sidecar/http_server.py
+++ b/primroseglade/sidecar/http_server.py
@@ -64,7 +64,10 @@
 
     @property
     def busy_connection_count(self) -> int:
-        """Number of connections on which a request is being read or answered."""
+        """Number of connections on which a request is being read or answered.
+
+        A response counts until the caller has taken all that this process holds of it.
+        """
         return sum(connection.busy for connection in self._connections)
 
     async def run(self) -> None:
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -399,12 +399,14 @@
     def count_requests_in_flight(self) -> int:
         """Return the number of requests in flight at this node.
 
-        These are requests of callers and of the backend server, and calls of other
-        nodes.
+        These are requests of callers and of the backend server, its reports, and calls
+        of other nodes. They count until the sender has taken the whole answer.
         """
         return (
             self._outbound_server.busy_connection_count
+            + self._control_server.busy_connection_count
             + self._peer_server.calls_in_flight
+            + self._peer_server.unsent_answers_stream_count
         )
 
     def apply_drains(self, drains: dict[str, int]) -> None:
--- a/primroseglade/sidecar/peer_server.py
+++ b/primroseglade/sidecar/peer_server.py
@@ -124,6 +124,11 @@
         """Number of calls from other nodes in flight at this node."""
         return sum(len(tasks) for tasks in self._tasks_by_stream.values())
 
+    @property
+    def unsent_answers_stream_count(self) -> int:
+        """Number of streams whose peers are slow to read the answers to their calls."""
+        return sum(stream.has_unsent_answers for stream in self._tasks_by_stream)
+
     async def run(self) -> None:
         """Listen until cancelled."""
         loop = asyncio.get_running_loop()
--- a/primroseglade/sidecar/server_connection.py
+++ b/primroseglade/sidecar/server_connection.py
@@ -106,11 +106,17 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being read or answered."""
-        return not self._lingering and (
-            self._reading_request or self._pipeline.size > 0
+        """Whether a request is being read or answered, or a response being sent."""
+        return self._has_unsent_bytes or (
+            not self._lingering and (self._reading_request or self._pipeline.size > 0)
         )
 
+    @property
+    def _has_unsent_bytes(self) -> bool:
+        """Whether this process still holds bytes that the caller is slow to read."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set socket options and register with the server."""
         self._transport = transport
@@ -226,6 +232,8 @@
             now: Current ``time.monotonic()``.
         """
         limits = self._server.limits
+        if self._has_unsent_bytes:
+            self._timer_start = now
         if self._lingering:
             if now - self._timer_start > LINGER_TIMEOUT_SECONDS:
                 self.close()
@@ -358,7 +366,8 @@
 
         The kernel resets a connection that is closed with unread input, and the caller
         may lose the response; this happens with pipelined requests. Input is therefore
-        read and dropped until the caller closes or ``LINGER_TIMEOUT_SECONDS`` pass.
+        read and dropped until the caller closes or ``LINGER_TIMEOUT_SECONDS`` have
+        passed since the response was sent.
         """
         self._pipeline.cancel()
         self._lingering = True
--- a/primroseglade/sidecar/streams.py
+++ b/primroseglade/sidecar/streams.py
@@ -11,6 +11,7 @@
 from .frames import (
     Call,
     CallAnswer,
+    CallRefused,
     encode_compressed_frame,
     encode_frame,
     Frame,
@@ -42,6 +43,7 @@
     """
 
     __slots__ = (
+        "_answers_end",
         "_compressor",
         "_cross_zone_bytes",
         "_frame_reader",
@@ -50,6 +52,7 @@
         "_protocol_error",
         "_transport",
         "_uncompressed_frame_count",
+        "_written_bytes",
         "last_received_at",
     )
 
@@ -66,6 +69,9 @@
         self._compressor: FrameCompressor | None = None
         self._uncompressed_frame_count = 0
         self._cross_zone_bytes: CrossZoneBytes | None = None
+        self._written_bytes = 0
+        # Value of `_written_bytes` after the last answer to a call.
+        self._answers_end = 0
         self.last_received_at = time.monotonic()
 
     @property
@@ -73,6 +79,14 @@
         """Whether the connection is closed or closing."""
         return self._transport is None or self._transport.is_closing()
 
+    @property
+    def has_unsent_answers(self) -> bool:
+        """Whether this process still holds answers that the peer is slow to read."""
+        if self._transport is None:
+            return False
+        sent_bytes = self._written_bytes - self._transport.get_write_buffer_size()
+        return sent_bytes < self._answers_end
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the socket options that detect a dead peer."""
         self._transport = transport
@@ -122,17 +136,19 @@
             frame: The frame.
             route: Route under which the frame's bytes are counted if it crosses zones.
         """
-        if self._cross_zone_bytes is None:
-            self.send_encoded(encode_frame(frame))
-            return
-        compressor = self._get_compressor(frame)
+        compressor = None
+        if self._cross_zone_bytes is not None:
+            compressor = self._get_compressor(frame)
         data = (
             encode_frame(frame)
             if compressor is None
             else encode_compressed_frame(frame, compressor)
         )
-        self._cross_zone_bytes.record(type(frame).__name__, route, len(data))
+        if self._cross_zone_bytes is not None:
+            self._cross_zone_bytes.record(type(frame).__name__, route, len(data))
         self.send_encoded(data)
+        if isinstance(frame, CallAnswer | CallRefused):
+            self._answers_end = self._written_bytes
 
     def _get_compressor(self, frame: Frame) -> FrameCompressor | None:
         """Return the compressor, or None until enough compressible frames were sent."""
@@ -146,6 +162,7 @@
         """Send a frame encoded by the caller, who may send it on several streams."""
         if self._transport is None:
             return
+        self._written_bytes += len(data)
         self._transport.write(data)
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.close()
