Give up answers that do not end

What callers saw: a backend server that sends bytes without end held its requests until their deadlines, and its node's memory grew until the node was too slow for sound requests.

Cause: the head of an answer, interim answers, answers to other requests, chunk headers and trailers had no limit; bodies had one of 64 MiB each, and none in sum.

Change: a request receives at most 128 KiB, and an eighth of the bodies' size, of anything but bodies, and 32 responses before its own. All incomplete bodies from one server together hold 32 MiB; over that the largest is given up, so that others go on. Bodies are kept in one buffer, not in a list of chunks.

--- a/primroseglade/sidecar/client_connection.py
+++ b/primroseglade/sidecar/client_connection.py
@@ -12,6 +12,7 @@
 import httptools
 
 from ..sockets import set_dead_peer_options, was_reset
+from .held_responses import HeldResponses
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -26,7 +27,14 @@
 # A server closes an idle connection when the timeout that it announced expires. Reuse
 # stops one second earlier, to allow for the transit of a request.
 IDLE_TIMEOUT_MARGIN_SECONDS = 1.0
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Sum over the connections to one address.
+MAX_HELD_RESPONSE_BYTES = 32 * 1024 * 1024
+# Maximum size of all that one request receives besides bodies, such as heads, chunk
+# headers and blank lines; more is allowed in proportion to the bodies.
+MAX_FRAMING_BYTES = 128 * 1024
+MAX_FRAMING_RATIO = 1 / 8
+# Interim responses and responses to other requests that may precede the response.
+MAX_SKIPPED_RESPONSES = 32
 # In a reason phrase or header value, it shows that a truncated response precedes this
 # one: its last line runs on into the next status line.
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d [1-5]\d\d( |$)")
@@ -79,6 +87,7 @@
     Args:
         on_lost: Called once the connection is closed, with whether the server closed
             it.
+        held_responses: Limits the bytes that all connections hold.
 
     Attributes:
         idle_since: ``time.monotonic()`` of the last return to the pool.
@@ -87,34 +96,43 @@
 
     __slots__ = (
         "_accept",
-        "_body_bytes",
-        "_chunks",
+        "_body",
         "_closed_here",
         "_delimited_by_close",
         "_head_complete",
         "_head_only",
+        "_held_responses",
         "_loop",
         "_on_lost",
         "_parser",
         "_pending",
         "_reason_phrase",
+        "_received_body_bytes",
+        "_received_bytes",
         "_response",
         "_reusable",
+        "_skipped_responses",
         "_transport",
         "idle_since",
         "idle_timeout",
     )
 
-    def __init__(self, on_lost: Callable[[bool], None]) -> None:
+    def __init__(
+        self, on_lost: Callable[[bool], None], held_responses: HeldResponses
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self._on_lost = on_lost
+        self._held_responses = held_responses
         self._closed_here = False
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._response: Response | None = None
         self._reason_phrase = b""
-        self._chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._body: bytes | bytearray = b""
+        # Since the request was sent.
+        self._received_bytes = 0
+        self._received_body_bytes = 0
+        self._skipped_responses = 0
         self._pending: asyncio.Future[Response] | None = None
         self._accept: ResponseFilter | None = None
         self._reusable = True
@@ -160,6 +178,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request that waits for a response."""
         self._transport = None
+        self._held_responses.release(self)
         reason = str(exc) if exc else "closed by the server"
         self._fail(ExchangeError(f"connection lost: {reason}", sent=True))
         self._on_lost(not self._closed_here)
@@ -170,10 +189,14 @@
             # Unsolicited bytes could be mistaken for the response to the next request.
             self.close()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._reject(str(error))
+            return
+        if self._is_awaiting:
+            self._check_size()
 
     def on_message_begin(self) -> None:
         """Start a new response (httptools callback)."""
@@ -184,8 +207,7 @@
         self._response = Response(0, [])
         self._head_complete = False
         self._reason_phrase = b""
-        self._chunks = []
-        self._body_bytes = 0
+        self._body = b""
         self._delimited_by_close = False
 
     def on_status(self, reason_phrase: bytes) -> None:
@@ -226,21 +248,22 @@
             self._complete()
 
     def on_body(self, body: bytes) -> None:
-        """Buffer a part of the body, up to the limit (httptools callback)."""
-        self._chunks.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_RESPONSE_BYTES:
-            self._fail(
-                ExchangeError(
-                    f"response body exceeds {MAX_RESPONSE_BYTES} bytes", sent=True
-                )
-            )
-            self.close()
+        """Add a part of the body (httptools callback)."""
+        self._received_body_bytes += len(body)
+        if not self._body:
+            self._body = body
+            return
+        if isinstance(self._body, bytes):
+            # A list of parts would take many times the memory of tiny chunks.
+            self._body = bytearray(self._body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Deliver a complete final response (httptools callback)."""
         if self._response is not None and self._response.status >= 200:
             self._complete()
+        else:
+            self._skip_response()
 
     async def exchange(
         self,
@@ -267,6 +290,8 @@
         pending = self._pending = self._loop.create_future()
         self._accept = accept
         self._head_only = head_only
+        self._received_bytes = self._received_body_bytes = 0
+        self._skipped_responses = 0
         self._transport.write(request)
         try:
             return await pending
@@ -277,6 +302,12 @@
             raise
         finally:
             self._pending = None
+            self._body = b""
+            self._held_responses.release(self)
+
+    def give_up(self, detail: str) -> None:
+        """Fail the request that waits, and close the connection."""
+        self._reject(detail)
 
     def close(self) -> None:
         """Close the connection at once, dropping unsent bytes."""
@@ -291,6 +322,24 @@
             if name.lower() == b"timeout" and seconds.isdigit():
                 self.idle_timeout = max(0.0, int(seconds) - IDLE_TIMEOUT_MARGIN_SECONDS)
 
+    def _check_size(self) -> None:
+        """Give up a response that does not end.
+
+        A response that is complete after the first read needs no check.
+        """
+        framing_bytes = self._received_bytes - self._received_body_bytes
+        max_bytes = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self._received_body_bytes
+        if framing_bytes > max_bytes:
+            self._reject(f"{framing_bytes} bytes besides the body")
+        elif self._body:
+            self._held_responses.update(self, len(self._body))
+
+    def _skip_response(self) -> None:
+        self._skipped_responses += 1
+        self._held_responses.release(self)
+        if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+            self._reject(f"{self._skipped_responses} responses before the final one")
+
     def _contains_status_line(self, response: Response) -> bool:
         return STATUS_LINE.search(self._reason_phrase) is not None or any(
             b"HTTP/" in value and STATUS_LINE.search(value)
@@ -298,8 +347,8 @@
         )
 
     def _reject(self, detail: str) -> None:
-        """Fail the request that waits, and close the connection."""
         self._fail(MalformedResponseError(detail))
+        self._body = b""
         self.close()
 
     def _complete(self) -> None:
@@ -311,9 +360,8 @@
             # A second response to one request, or the request has already failed.
             self._reusable = False
             return
-        chunks = self._chunks
-        response.body = chunks[0] if len(chunks) == 1 else b"".join(chunks)
-        self._chunks = []
+        response.body = bytes(self._body)
+        self._body = b""
         try:
             is_own = self._accept is None or self._accept(response)
         except MalformedResponseError as error:
@@ -323,6 +371,7 @@
         if not is_own:
             # Not the response to this request; keep waiting for that one.
             self._reusable = False
+            self._skip_response()
             return
         pending.set_result(response)
 
--- a/primroseglade/sidecar/http_client.py
+++ b/primroseglade/sidecar/http_client.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable
 
 from ..addresses import parse_address
-from .client_connection import ClientConnection, ExchangeError, Response
+from .client_connection import (
+    ClientConnection,
+    ExchangeError,
+    MAX_HELD_RESPONSE_BYTES,
+    Response,
+)
+from .held_responses import HeldResponses
 
 # Non-idempotent requests do not reuse a connection that was idle for longer: the server
 # may be closing it, and it would be unknown whether the request ran.
@@ -27,6 +33,9 @@
         connect_timeout: Maximum time to open a connection, in seconds.
         on_all_lost: Called when the server has closed all open connections within a
             short time, as the end of its process does.
+
+    Attributes:
+        held_responses: Limits the bytes of incomplete responses.
     """
 
     def __init__(
@@ -38,6 +47,7 @@
         self._host, self._port = parse_address(address)
         self._connect_timeout = connect_timeout
         self._on_all_lost = on_all_lost
+        self.held_responses = HeldResponses(MAX_HELD_RESPONSE_BYTES)
         self._idle: list[ClientConnection] = []
         self._open_count = 0
         # When the server closed the last connections, the oldest first.
@@ -111,7 +121,9 @@
         try:
             async with asyncio.timeout(self._connect_timeout):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self._handle_lost), self._host, self._port
+                    lambda: ClientConnection(self._handle_lost, self.held_responses),
+                    self._host,
+                    self._port,
                 )
         except (TimeoutError, OSError) as error:
             detail = f"cannot connect: {str(error) or 'timed out'}"
