Sort nodes anew when one returns with another service

Cause: state kept by a node's name over its restarts. The Hello on the stream to the node changed its entry without telling the fleet, which keeps the nodes by service and zone; the node's own Hello then had a known entry.

Change: a Hello with another address, zone or service makes the fleet sort its nodes anew.

--- a/primroseglade/sidecar/fleet.py
+++ b/primroseglade/sidecar/fleet.py
@@ -140,6 +140,10 @@
             self._index = FleetIndex(self._host.entry, self._peers.values())
         return self._index
 
+    def invalidate_index(self) -> None:
+        """Rebuild the index before it is used again, as an entry has changed."""
+        self._index = None
+
     def get(self, name: str) -> Peer | None:
         """Return the peer with a name, or None."""
         return self._peers.get(name)
--- a/primroseglade/sidecar/node.py
+++ b/primroseglade/sidecar/node.py
@@ -444,6 +444,10 @@
         """Answer a node's token request, now or once tokens are available."""
         self.rates.answer(sender, request, send)
 
+    def handle_entry_change(self) -> None:
+        """Handle a node that came back at another place or with another service."""
+        self.fleet.invalidate_index()
+
     def handle_hello(self, entry: NodeEntry) -> None:
         """Add a node that opened a stream to this one."""
         self.rates.record_node_start(entry)
--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -421,7 +421,9 @@
             # The address has been reassigned to another node.
             self._disconnect("address is used by another node")
             return
-        self.entry = hello.entry
+        former_entry, self.entry = self.entry, hello.entry
+        if not former_entry.equals_except_start_time(hello.entry):
+            self._host.handle_entry_change()
         self._hello_received = True
         self._journal.emit(PEER_CONNECTED, peer=self.entry.name)
         self._host.apply_drains(hello.drains)
--- a/primroseglade/sidecar/peer_host.py
+++ b/primroseglade/sidecar/peer_host.py
@@ -21,6 +21,9 @@
     def cross_zone_bytes(self) -> CrossZoneBytes:
         """Counter of the bytes sent to other availability zones."""
 
+    def handle_entry_change(self) -> None:
+        """Handle a node that came back at another place or with another service."""
+
     def apply_drains(self, drains: dict[str, int]) -> None:
         """Drain the local backend server if a peer has recorded it as draining.
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,6 +8,7 @@
 from primroseglade.observe.events import Journal
 from primroseglade.sidecar.cross_zone_bytes import CrossZoneBytes
 from primroseglade.sidecar.fleet import Fleet
+from primroseglade.sidecar.frames import Hello
 from primroseglade.sidecar.model import NodeEntry, NodeState
 from primroseglade.sidecar.peer import Peer
 
@@ -18,6 +19,17 @@
     entry = NodeEntry("here", "127.0.0.1:1", "a", "front", 1)
     cross_zone_bytes = CrossZoneBytes()
 
+    def __init__(self) -> None:
+        self.fleet: Fleet | None = None
+
+    def handle_entry_change(self) -> None:
+        """Tell the fleet, as the node does."""
+        assert self.fleet is not None
+        self.fleet.invalidate_index()
+
+    def apply_drains(self, drains: dict[str, int]) -> None:
+        """Do nothing."""
+
 
 class FakeSupervisor:
     """Supervisor that starts no tasks, so that no stream is opened."""
@@ -30,9 +42,9 @@
 async def fleet(monkeypatch: pytest.MonkeyPatch) -> Fleet:
     """Twelve backend servers of a service in each of three zones, all idle."""
     monkeypatch.setattr(Peer, "connected", property(lambda self: True))
-    fleet = Fleet(
-        PeerHost(), FakeSupervisor(), Journal("here", "error"), random.Random(1)
-    )
+    host = PeerHost()
+    fleet = Fleet(host, FakeSupervisor(), Journal("here", "error"), random.Random(1))
+    host.fleet = fleet
     for number in range(36):
         name = f"deep-{number:02}"
         fleet.update_node(NodeEntry(name, "127.0.0.1:2", "abc"[number % 3], "deep", 1))
@@ -75,3 +87,26 @@
     candidate = fleet.choose("deep", None, (), 40.0, 600.0, {})
     assert candidate is not None
     assert not candidate.same_zone
+
+
+async def test_node_that_returns_with_another_service_gets_no_calls_of_the_former(
+    fleet: Fleet,
+):
+    """Guards against requests that the wrong service runs: the Hello of the returned
+    node changed its entry, and the nodes stayed sorted by their former services.
+    """
+    for number in range(36):
+        peer = fleet.get(f"deep-{number:02}")
+        assert peer is not None
+        if number:
+            peer.state = NodeState()
+    assert fleet.choose("deep", None, (), 40.0, 600.0, {}) is not None
+    returned = fleet.get("deep-00")
+    assert returned is not None
+    entry = NodeEntry("deep-00", "127.0.0.1:2", "a", "other", 2)
+    returned._handle_hello(Hello(entry))
+    fleet.update_node(entry)
+    assert fleet.choose("deep", None, (), 40.0, 600.0, {}) is None
+    chosen = fleet.choose("other", None, (), 40.0, 600.0, {})
+    assert chosen is not None
+    assert chosen.name == "deep-00"
