Do not break off uploads to a server that pauses in reading

What callers saw: an upload to a server that stopped reading for 2.5 s was answered 502 after 1.5 s, with most of its time left; it can't be repeated.

Cause: TCP_USER_TIMEOUT, which finds dead connections in 1.5 s, also counts the time for which the server's receive window is closed.

Change: a request of more than 4 KiB, which may fill a small window, is bounded by its deadline alone. Small requests still find a dead connection in 1.5 s.

Result: the test failed before (connection timed out) and passes now.

--- a/primroseglade/sidecar/client_connection.py
+++ b/primroseglade/sidecar/client_connection.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from ..sockets import set_dead_peer_options, was_reset
+from ..sockets import set_dead_peer_options, set_unacknowledged_limit, was_reset
 from .held_responses import HeldResponses
 
 RawHeaders = list[tuple[bytes, bytes]]
@@ -20,6 +20,9 @@
 # dead. Longer than two retransmissions within a site, shorter than most callers'
 # deadlines.
 MAX_UNACKNOWLEDGED_MS = 1500
+# Larger requests may fill the receive window of a server that is slow to read. They are
+# bounded by their deadlines alone.
+MAX_WINDOW_REQUEST_BYTES = 4096
 KEEP_ALIVE_IDLE_SECONDS = 1
 # Used for servers that send no Keep-Alive header; common servers close idle connections
 # after 5 s or more.
@@ -292,6 +295,9 @@
         self._head_only = head_only
         self._received_bytes = self._received_body_bytes = 0
         self._skipped_responses = 0
+        is_large = len(request) > MAX_WINDOW_REQUEST_BYTES
+        if is_large:
+            set_unacknowledged_limit(self._transport, 0)
         self._transport.write(request)
         try:
             return await pending
@@ -304,6 +310,8 @@
             self._pending = None
             self._body = b""
             self._held_responses.release(self)
+            if is_large and self._transport is not None:
+                set_unacknowledged_limit(self._transport, MAX_UNACKNOWLEDGED_MS)
 
     def give_up(self, detail: str) -> None:
         """Fail the request that waits, and close the connection."""
