Hold incomplete bodies in parts, up to 48 MiB

Cause: one growing buffer is moved by the allocator, which took twice its size at the peak; the limit of 32 MiB in sum gave up one of four sound answers of 12 MB at once, which the node had delivered until then.

Change: bodies are kept in parts of at least 64 KiB; the sum of incomplete ones from one server is 48 MiB.

--- a/primroseglade/sidecar/client_connection.py
+++ b/primroseglade/sidecar/client_connection.py
@@ -31,7 +31,8 @@
 # stops one second earlier, to allow for the transit of a request.
 IDLE_TIMEOUT_MARGIN_SECONDS = 1.0
 # Sum over the connections to one address.
-MAX_HELD_RESPONSE_BYTES = 32 * 1024 * 1024
+MAX_HELD_RESPONSE_BYTES = 48 * 1024 * 1024
+MIN_BODY_PART_BYTES = 64 * 1024
 # Maximum size of all that one request receives besides bodies, such as heads, chunk
 # headers and blank lines; more is allowed in proportion to the bodies.
 MAX_FRAMING_BYTES = 128 * 1024
@@ -99,7 +100,8 @@
 
     __slots__ = (
         "_accept",
-        "_body",
+        "_body_bytes",
+        "_body_parts",
         "_closed_here",
         "_delimited_by_close",
         "_head_complete",
@@ -131,7 +133,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._response: Response | None = None
         self._reason_phrase = b""
-        self._body: bytes | bytearray = b""
+        self._body_parts: list[bytes | bytearray] = []
+        self._body_bytes = 0
         # Since the request was sent.
         self._received_bytes = 0
         self._received_body_bytes = 0
@@ -210,7 +213,7 @@
         self._response = Response(0, [])
         self._head_complete = False
         self._reason_phrase = b""
-        self._body = b""
+        self._drop_body()
         self._delimited_by_close = False
 
     def on_status(self, reason_phrase: bytes) -> None:
@@ -253,13 +256,15 @@
     def on_body(self, body: bytes) -> None:
         """Add a part of the body (httptools callback)."""
         self._received_body_bytes += len(body)
-        if not self._body:
-            self._body = body
+        self._body_bytes += len(body)
+        parts = self._body_parts
+        if not parts or len(parts[-1]) >= MIN_BODY_PART_BYTES:
+            parts.append(body)
             return
-        if isinstance(self._body, bytes):
-            # A list of parts would take many times the memory of tiny chunks.
-            self._body = bytearray(self._body)
-        self._body += body
+        if isinstance(parts[-1], bytes):
+            # Many small parts would take several times the memory of their bytes.
+            parts[-1] = bytearray(parts[-1])
+        parts[-1] += body
 
     def on_message_complete(self) -> None:
         """Deliver a complete final response (httptools callback)."""
@@ -308,7 +313,7 @@
             raise
         finally:
             self._pending = None
-            self._body = b""
+            self._drop_body()
             self._held_responses.release(self)
             if is_large and self._transport is not None:
                 set_unacknowledged_limit(self._transport, MAX_UNACKNOWLEDGED_MS)
@@ -339,8 +344,8 @@
         max_bytes = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self._received_body_bytes
         if framing_bytes > max_bytes:
             self._reject(f"{framing_bytes} bytes besides the body")
-        elif self._body:
-            self._held_responses.update(self, len(self._body))
+        elif self._body_bytes:
+            self._held_responses.update(self, self._body_bytes)
 
     def _skip_response(self) -> None:
         self._skipped_responses += 1
@@ -354,9 +359,13 @@
             for _, value in response.headers
         )
 
+    def _drop_body(self) -> None:
+        self._body_parts = []
+        self._body_bytes = 0
+
     def _reject(self, detail: str) -> None:
         self._fail(MalformedResponseError(detail))
-        self._body = b""
+        self._drop_body()
         self.close()
 
     def _complete(self) -> None:
@@ -368,8 +377,9 @@
             # A second response to one request, or the request has already failed.
             self._reusable = False
             return
-        response.body = bytes(self._body)
-        self._body = b""
+        parts = self._body_parts
+        response.body = bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
+        self._drop_body()
         try:
             is_own = self._accept is None or self._accept(response)
         except MalformedResponseError as error:
