Let answers wait until a node has read those before them

What callers saw: four answers of 12 MB at once to one other node were all answered 502.

Cause: a stream between nodes that holds over 32 MiB unsent is closed, with all that is on it; nothing kept answers from being added while the other node was still reading.

Change: an answer waits while more than 8 MiB are unsent on its stream; calls whose answers wait count as in flight when the node stops. Over 48 MiB of waiting answers a further one is reported as lost, and the stream lives on. A stream is closed at 64 MiB, which answers alone no longer reach.

One node that doesn't read can make another hold 64 MiB and 48 MiB of waiting answers, for the 1.5 s until the connection counts as dead (32 MiB before).

--- a/primroseglade/sidecar/peer_server.py
+++ b/primroseglade/sidecar/peer_server.py
@@ -6,7 +6,7 @@
 
 from ..addresses import parse_address
 from ..observe.events import CALL_FAILED, Journal
-from ..verdicts import Reason, Refusal, Verdict
+from ..verdicts import may_have_run, Reason, Refusal
 from .call_refusals import build_message
 from .clock import read_age_clock
 from .cross_zone_bytes import CrossZoneBytes
@@ -30,7 +30,7 @@
 )
 from .model import NodeEntry, NodeState
 from .one_way_delay import OneWayDelay
-from .streams import FrameStream
+from .streams import FrameStream, StreamFullError
 
 
 class ServerHost(Protocol):
@@ -245,16 +245,21 @@
     async def _serve(self, stream: FrameStream, call: Call) -> None:
         try:
             served = await self._dispatcher.serve(call)
+            await stream.wait_for_room(len(served.body))
         except Refusal as refusal:
             self._send_refusal(stream, call, refusal)
             return
+        except StreamFullError as error:
+            refusal = may_have_run(Reason.ANSWER_BROKEN, str(error))
+            self._send_refusal(stream, call, refusal)
+            return
         except Exception as error:
             self._journal.emit(
                 CALL_FAILED,
                 request=call.request_id.decode("latin-1"),
                 error=f"{type(error).__name__}: {error}",
             )
-            refusal = Refusal(Reason.ANSWER_BROKEN, Verdict.MAY_HAVE_RUN, "node failed")
+            refusal = may_have_run(Reason.ANSWER_BROKEN, "node failed")
             self._send_refusal(stream, call, refusal)
             return
         stream.send(
--- a/primroseglade/sidecar/streams.py
+++ b/primroseglade/sidecar/streams.py
@@ -23,7 +23,12 @@
 
 # A stream with more unsent bytes is closed, so that a peer that does not read cannot
 # exhaust this process's memory.
-MAX_UNSENT_BYTES = 32 * 1024 * 1024
+MAX_UNSENT_BYTES = 64 * 1024 * 1024
+# Answers wait while more bytes are unsent. They leave room for the other frames: the
+# largest answer is smaller than the difference.
+MAX_UNSENT_BEFORE_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_WAITING_ANSWER_BYTES = 48 * 1024 * 1024
+ROOM_POLL_SECONDS = 0.01
 # Number of compressible frames that a stream sends uncompressed before it creates a
 # compressor. Compressor and decompressor take most of the memory that a node keeps for
 # a peer, and most streams of a large fleet carry hardly any compressible frames.
@@ -31,6 +36,10 @@
 COMPRESSIBLE_FRAMES = (Call, CallAnswer, State, States)
 
 
+class StreamFullError(Exception):
+    """Too many answers wait already until the peer has read those before them."""
+
+
 class FrameStream(asyncio.Protocol):
     """Sends and receives frames on one connection to another node.
 
@@ -52,6 +61,7 @@
         "_protocol_error",
         "_transport",
         "_uncompressed_frame_count",
+        "_waiting_bytes",
         "_written_bytes",
         "last_received_at",
     )
@@ -72,6 +82,7 @@
         self._written_bytes = 0
         # Value of `_written_bytes` after the last answer to a call.
         self._answers_end = 0
+        self._waiting_bytes = 0
         self.last_received_at = time.monotonic()
 
     @property
@@ -158,6 +169,36 @@
                 self._compressor = FrameCompressor()
         return self._compressor
 
+    async def wait_for_room(self, answer_bytes: int) -> None:
+        """Wait until an answer can be sent without holding too much in this process.
+
+        Args:
+            answer_bytes: Size of the answer.
+
+        Raises:
+            StreamFullError: Too many answers wait already.
+        """
+        if not self._is_full:
+            return
+        if self._waiting_bytes + answer_bytes > MAX_WAITING_ANSWER_BYTES:
+            raise StreamFullError(
+                f"{self._waiting_bytes} bytes of answers wait already"
+            )
+        self._waiting_bytes += answer_bytes
+        try:
+            while self._is_full:
+                await asyncio.sleep(ROOM_POLL_SECONDS)
+        finally:
+            self._waiting_bytes -= answer_bytes
+
+    @property
+    def _is_full(self) -> bool:
+        transport = self._transport
+        return (
+            transport is not None
+            and transport.get_write_buffer_size() > MAX_UNSENT_BEFORE_ANSWER_BYTES
+        )
+
     def send_encoded(self, data: bytes) -> None:
         """Send a frame encoded by the caller, who may send it on several streams."""
         if self._transport is None:
--- a/primroseglade/sockets.py
+++ b/primroseglade/sockets.py
@@ -31,7 +31,8 @@
 def set_unacknowledged_limit(transport: asyncio.Transport, milliseconds: int) -> None:
     """Set the time in ms that sent data may remain unacknowledged.
 
-    0 stands for the kernel's default, which is minutes. The time for which the peer's receive window is closed counts, too.
+    0 stands for the kernel's default, which is minutes. The time for which the peer's
+    receive window is closed counts, too.
     """
     sock = transport.get_extra_info("socket")
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+from primroseglade.addresses import parse_address
 from primroseglade.observe.events import Journal
 from primroseglade.platform.dialect import PlatformDialect
 from primroseglade.platform.reports import (
@@ -15,13 +16,23 @@
 )
 from primroseglade.platform.store import StoreClient
 from primroseglade.sidecar.client_connection import Response
+from primroseglade.sidecar.frames import (
+    Call,
+    encode_frame,
+    Frame,
+    FrameReader,
+    Hello,
+)
 from primroseglade.sidecar.http_client import ConnectionPool
+from primroseglade.sidecar.model import NodeEntry
 from primroseglade.sidecar.node import SidecarNode
 from primroseglade.sidecar.node_settings import NodeSettings
 from primroseglade.stand_ins.mesh_backend import MeshBackend
 from primroseglade.stand_ins.store import StoreStandIn
 
 HOST = "api.example"
+# Of a connection whose other end is slow to read.
+RECEIVE_BUFFER_BYTES = 16_384
 
 
 # Below the ephemeral ports: one of those, found free, is often taken by an outgoing
@@ -277,3 +288,72 @@
         if header.lower() == name.lower().encode():
             return value.decode()
     return ""
+
+
+def build_request(request_id: str, headers: str = "", path: str = "/front/a") -> bytes:
+    """Return a request without a body, as a caller sends it."""
+    return (
+        f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token key-1\r\n"
+        f"X-Primroseglade-Request-Id: {request_id}\r\n"
+        f"X-Primroseglade-Deadline-Ms: 9000\r\n{headers}\r\n"
+    ).encode()
+
+
+def build_call_frames(instance: MeshInstance, count: int) -> bytes:
+    """Return what another node sends that makes calls to an instance."""
+    data = encode_frame(Hello(NodeEntry("far-1", "127.0.0.1:9", "a", "far", 1)))
+    for number in range(1, count + 1):
+        request_id = f"call-{number}"
+        call = Call(
+            number,
+            instance.backend.instance,
+            instance.settings.service,
+            request_id.encode(),
+            9000.0,
+            9000.0,
+            True,
+            False,
+            build_request(request_id).removesuffix(b"\r\n"),
+            b"",
+        )
+        data += encode_frame(call)
+    return data
+
+
+class SlowReader:
+    """A connection whose other end sends, and which reads only when told to.
+
+    Args:
+        address: ``IP:PORT`` to connect to.
+        buffer_bytes: Receive buffer of its kernel.
+    """
+
+    def __init__(self, address: str, buffer_bytes: int = RECEIVE_BUFFER_BYTES):
+        self._address = address
+        self._sock = socket.socket()
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        self._sock.setblocking(False)
+
+    async def send(self, data: bytes) -> None:
+        """Connect, send, and leave what comes back unread."""
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self._sock, parse_address(self._address))
+        await loop.sock_sendall(self._sock, data)
+
+    async def read(self) -> AsyncIterator[bytes]:
+        """Yield what was received, until the other end closes the connection."""
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(ConnectionError):
+            while data := await loop.sock_recv(self._sock, 1 << 20):
+                yield data
+
+    async def read_frames(self) -> AsyncIterator[Frame]:
+        """Yield the frames of a stream between nodes, until it is closed."""
+        frame_reader = FrameReader()
+        async for data in self.read():
+            for frame in frame_reader.feed(data):
+                yield frame
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
--- a/tests/test_mesh_slow_readers.py
+++ b/tests/test_mesh_slow_readers.py
@@ -1,12 +1,16 @@
 """Backend servers and nodes that are slow to read what a node sends them."""
 
+import asyncio
 import socket
 import threading
 import time
 
+from primroseglade.sidecar.frames import CallAnswer
 from primroseglade.sidecar.http_client import ConnectionPool
+from primroseglade.sidecar.http_messages import Reply, Request
+
+from .mesh import build_call_frames, Mesh, RECEIVE_BUFFER_BYTES, SlowReader
 
-RECEIVE_BUFFER_BYTES = 16_384
 PAUSE_SECONDS = 2.5
 BODY_BYTES = 300_000
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nread"
@@ -58,3 +62,34 @@
     assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) > 0
     connection.close()
     server.close()
+
+
+LARGE_ANSWERS = 4
+LARGE_ANSWER_BYTES = 12_000_000
+
+
+async def test_large_answers_to_a_node_that_reads_slowly_all_arrive(mesh: Mesh):
+    """Guards against answers that are all lost with the stream that carries them, as
+    together they exceed what it may hold unsent.
+    """
+    instance = mesh.instances[0]
+
+    def answer(request: Request, headers: dict[str, str]) -> Reply:
+        return instance.backend.build_response(
+            headers["x-primroseglade-request-id"], b"x" * LARGE_ANSWER_BYTES
+        )
+
+    instance.backend.answer = answer
+    reader = SlowReader(instance.settings.peers, 16 * RECEIVE_BUFFER_BYTES)
+    await reader.send(build_call_frames(instance, LARGE_ANSWERS))
+    await asyncio.sleep(0.8)
+    answered = 0
+    async with asyncio.timeout(10.0):
+        async for frame in reader.read_frames():
+            if isinstance(frame, CallAnswer):
+                assert len(frame.body) == LARGE_ANSWER_BYTES
+                answered += 1
+                if answered == LARGE_ANSWERS:
+                    break
+    assert answered == LARGE_ANSWERS
+    reader.close()
