Soak: spoiled answers, a second leaving, late reports, slow readers

Each leaving sends a report late, and every other one begins with the deregistration. Checks: no success that was a failure, no answer that is malformed or another's, drains by lifetime, no answer cut by a planned stop. Harms of each check are tested.

--- a/primroseglade/stand_ins/mesh_backend.py
+++ b/primroseglade/stand_ins/mesh_backend.py
@@ -28,6 +28,7 @@
 
     Attributes:
         state: State that it reports, such as ``ready`` or ``draining``.
+        reporting: Whether it sends status reports.
         cold_until: ``time.monotonic()`` until which it says that it is cold.
         executed_request_ids: Ids of the requests that began to run.
         executed_at: ``time.monotonic()`` at which each of them began.
@@ -66,6 +67,7 @@
         self.processing_seconds = processing_seconds
         self.start_time_ms = start_time_ms
         self.state = "ready"
+        self.reporting = True
         self.cold_until = 0.0
         self.executed_request_ids: list[str] = []
         self.executed_at: list[float] = []
@@ -126,7 +128,8 @@
 
     async def _report_repeatedly(self) -> None:
         while True:
-            await self.report_status()
+            if self.reporting:
+                await self.report_status()
             await asyncio.sleep(REPORT_INTERVAL_SECONDS)
 
     async def report_status(self, cold_ms: int | None = None) -> int:
@@ -136,6 +139,10 @@
             cold_ms: Milliseconds for which it says that it is cold, if not the true
                 ones, as in a report that was sent earlier.
         """
+        return await self.send_control_request("PUT", self.build_report(cold_ms))
+
+    def build_report(self, cold_ms: int | None = None) -> bytes:
+        """Return the body of the next status report, which may be sent later."""
         self._sequence += 1
         if cold_ms is None:
             cold_ms = self._cold_ms
@@ -150,7 +157,7 @@
             "sequence": self._sequence,
             "born": self.start_time_ms,
         }
-        return await self.send_control_request("PUT", json.dumps(body).encode())
+        return json.dumps(body).encode()
 
     async def deregister(self) -> int:
         """Deregister from the node; return the response status, 0 for no response."""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,6 +8,8 @@
 # Time after the acknowledgment of its drain in which a backend server may still receive
 # requests.
 MAX_DRAIN_SECONDS = 2.0
+# A node that was harmed less than this long before a request may lose its answer.
+UNDISTURBED_SECONDS = 3.0
 # Tolerance for timestamps of different processes on a loaded machine.
 TIMESTAMP_TOLERANCE_SECONDS = 0.3
 # A caller's request may reach a backend server for this long after the caller's node
@@ -36,10 +38,13 @@
         status: HTTP status of the response; 0 if there was none.
         has_expected_body: False if the response lacked the complete body of this
             request.
+        has_foreign_headers: Whether the response bore the ID or seal of another one, or
+            was malformed.
     """
 
     __slots__ = (
         "has_expected_body",
+        "has_foreign_headers",
         "idempotent",
         "key",
         "machine",
@@ -63,12 +68,26 @@
         self.machine = machine
         self.status = 0
         self.has_expected_body = True
+        self.has_foreign_headers = False
 
 
 class Execution:
-    """One execution of a request, as the backend server reported it."""
+    """One execution of a request, as the backend server reported it.
 
-    __slots__ = ("instance", "key_seen", "request_id", "started_at", "tenant")
+    Attributes:
+        lifetime: Names the start of the instance.
+        failed: Whether it is answered with a failure.
+    """
+
+    __slots__ = (
+        "failed",
+        "instance",
+        "key_seen",
+        "lifetime",
+        "request_id",
+        "started_at",
+        "tenant",
+    )
 
     def __init__(
         self,
@@ -77,12 +96,36 @@
         tenant: str,
         key_seen: bool,
         started_at: float,
+        lifetime: str = "",
+        failed: bool = False,
     ):
         self.request_id = request_id
         self.instance = instance
         self.tenant = tenant
         self.key_seen = key_seen
         self.started_at = started_at
+        self.lifetime = lifetime or instance
+        self.failed = failed
+
+
+class SlowRead:
+    """A large answer that a caller reads slowly while its node is stopped.
+
+    Attributes:
+        begun: Whether a part of the answer arrived.
+        complete: Whether all of it arrived.
+        ended_at: Monotonic time in seconds of its end.
+    """
+
+    __slots__ = ("begun", "complete", "ended_at", "machine", "request_id", "sent_at")
+
+    def __init__(self, request_id: str, machine: int, sent_at: float):
+        self.request_id = request_id
+        self.machine = machine
+        self.sent_at = sent_at
+        self.begun = False
+        self.complete = False
+        self.ended_at = sent_at
 
 
 class FatalRequest:
@@ -111,6 +154,7 @@
         self.requests: dict[str, SentRequest] = {}
         self.executions: dict[str, list[Execution]] = {}
         self.withdrawn_at: dict[str, float] = {}
+        # By lifetime.
         self.drain_acknowledged_at: dict[str, float] = {}
         self.tenants_by_key: dict[str, str] = {}
         # When a machine's node first passed on an answer in which an instance states
@@ -118,6 +162,9 @@
         self.leaving_passed_on_at: dict[tuple[int, str], float] = {}
         # When a machine's node was started, stopped, killed, paused or resumed.
         self.node_disturbed_at: dict[int, list[float]] = {}
+        # When it was killed, paused or resumed.
+        self.node_harmed_at: dict[int, list[float]] = {}
+        self.slow_reads: list[SlowRead] = []
         # Times and values of the limits that instances stated; 0 for none.
         self.stated_limits: dict[str, list[tuple[float, float]]] = {}
         # By target.
@@ -138,6 +185,16 @@
         for request in record.requests.values()
         if request.status == 200 and not request.has_expected_body
     ]
+    violations += [
+        f"{request.request_id} got an answer that is malformed or another's"
+        for request in record.requests.values()
+        if request.has_foreign_headers
+    ]
+    violations += [
+        f"{read.request_id}: the answer ended early as machine {read.machine} stopped"
+        for read in record.slow_reads
+        if read.begun and not read.complete and not _was_harmed(record, read)
+    ]
     for instance, changes in record.stated_limits.items():
         violations += _check_limit(record, instance, changes)
     for target, fatal_request in record.fatal_requests.items():
@@ -145,6 +202,14 @@
     return violations
 
 
+def _was_harmed(record: Record, read: SlowRead) -> bool:
+    """Return whether anything but a planned stop may have ended a slow read."""
+    return any(
+        read.sent_at - UNDISTURBED_SECONDS < at < read.ended_at
+        for at in record.node_harmed_at.get(read.machine, [])
+    )
+
+
 def _check_fatal_request(
     record: Record, target: str, fatal_request: FatalRequest
 ) -> list[str]:
@@ -243,6 +308,8 @@
         violations.append(
             f"{request.request_id} got status {request.status} but was executed"
         )
+    if request.status == 200 and all(execution.failed for execution in executions):
+        violations.append(f"{request.request_id} got status 200 but failed")
     withdrawn_at = record.withdrawn_at.get(request.key)
     if (
         withdrawn_at is not None
@@ -266,7 +333,7 @@
                 f"{request.request_id} reached {execution.instance} after machine "
                 f"{request.machine} had passed on that it leaves"
             )
-        drained_at = record.drain_acknowledged_at.get(execution.instance)
+        drained_at = record.drain_acknowledged_at.get(execution.lifetime)
         if (
             drained_at is not None
             and execution.started_at
--- a/soak/machines.py
+++ b/soak/machines.py
@@ -50,6 +50,7 @@
         self.host = f"{network_prefix}.{10 + number}"
         self.name = f"node-{number}"
         self.folder = folder
+        self.drain_acknowledged = asyncio.Event()
         self.events: asyncio.Queue[dict[str, object]] = asyncio.Queue()
         self.backend_proxy: FaultProxy = build_fault_proxy(
             self.host, BACKEND_PROXY_PORT, self.address(BACKEND_PORT)
@@ -59,7 +60,10 @@
         )
         # When the node's process was started, stopped, killed, paused or resumed.
         self.node_disturbed_at: list[float] = []
+        # When it was killed, paused or resumed, which is never planned.
+        self.node_harmed_at: list[float] = []
         self._backend_starts = 0
+        self._keeps_instance = False
         self._is_first_start = True
         self._node: asyncio.subprocess.Process | None = None
         self._backend: asyncio.subprocess.Process | None = None
@@ -95,8 +99,9 @@
         self._supervise(self._node, self.start_node)
 
     async def start_backend(self) -> None:
-        """Start the backend server under a new instance id."""
-        self._backend_starts += 1
+        """Start the backend server, mostly under a new instance id."""
+        if not self._keeps_instance:
+            self._backend_starts += 1
         options = {
             "instance": f"i-{self.number}-{self._backend_starts}",
             "service": self.service,
@@ -105,6 +110,8 @@
             "control": self.address(CONTROL_PORT),
         }
         arguments = [part for k, v in options.items() for part in (f"--{k}", v)]
+        if self._backend_starts % 2 or self._keeps_instance:
+            arguments.append("--leaves-first")
         self._backend = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -119,14 +126,15 @@
     async def pause_node(self, seconds: float) -> None:
         """Suspend the node's process for some seconds (SIGSTOP)."""
         assert self._node is not None
-        self._record_disturbance()
+        self._record_harm()
         _send_signal(self._node, signal.SIGSTOP)
         await asyncio.sleep(seconds)
         _send_signal(self._node, signal.SIGCONT)
-        self._record_disturbance()
+        self._record_harm()
 
     async def kill_node(self) -> None:
         """Kill the node, which is then restarted."""
+        self._record_harm()
         await self._restart_node(signal.SIGKILL)
 
     async def stop_node(self) -> None:
@@ -137,6 +145,27 @@
         """Drain the backend server and start it again under a new instance id."""
         await self._restart_backend(signal.SIGTERM)
 
+    async def drain_backend_twice(self, seconds: float) -> None:
+        """Drain the backend server under one instance ID twice.
+
+        The node is killed as soon as the second drain is acknowledged.
+
+        Args:
+            seconds: How long the second process serves before it is drained.
+        """
+        self._keeps_instance = True
+        try:
+            await self.drain_backend()
+            await asyncio.sleep(RESTART_DELAY_SECONDS + seconds)
+            self.drain_acknowledged.clear()
+            draining = asyncio.create_task(self.drain_backend())
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.drain_acknowledged.wait(), seconds)
+            await self.kill_node()
+            await draining
+        finally:
+            self._keeps_instance = False
+
     async def kill_backend(self) -> None:
         """Kill the backend server and start it again under a new instance id."""
         await self._restart_backend(signal.SIGKILL)
@@ -197,10 +226,17 @@
     def _record_disturbance(self) -> None:
         self.node_disturbed_at.append(time.monotonic())
 
+    def _record_harm(self) -> None:
+        self._record_disturbance()
+        self.node_harmed_at.append(time.monotonic())
+
     async def _read_events(self, process: asyncio.subprocess.Process) -> None:
         assert process.stdout is not None
         while line := await process.stdout.readline():
-            self.events.put_nowait(json.loads(line))
+            event = json.loads(line)
+            self.events.put_nowait(event)
+            if event.get("acknowledged"):
+                self.drain_acknowledged.set()
 
     def _build_settings(self) -> dict[str, object]:
         return {
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,16 +9,27 @@
 from collections.abc import Awaitable, Callable
 
 from primroseglade.addresses import join_address
-from primroseglade.sidecar.client_connection import ExchangeError
+from primroseglade.sidecar.client_connection import (
+    ExchangeError,
+    MalformedResponseError,
+)
 from primroseglade.sidecar.http_client import ConnectionPool
 from primroseglade.stand_ins.mesh_backend import HEALTH_PATH
 from primroseglade.stand_ins.store import StoreStandIn
 
-from .backend import FATAL_MARK, INSTANCE_HEADER
-from .checks import Execution, FatalRequest, find_violations, Record, SentRequest
+from .backend import build_body, FATAL_MARK, INSTANCE_HEADER, LARGE_MARK, SEAL
+from .checks import (
+    Execution,
+    FatalRequest,
+    find_violations,
+    Record,
+    SentRequest,
+    SlowRead,
+)
 from .machines import Machine, OUTBOUND_PORT, SERVICES
 from .proxy import FaultProxy, LinkFault
 from .schedule import generate_faults, ScheduledFault
+from .slow_reader import read_slowly
 
 STORE_PORT = 8546
 VIRTUAL_HOST = "api.example"
@@ -45,6 +56,10 @@
 # Numbers of callers that send a request under which backend servers end at one moment.
 FATAL_CALLERS = (1, 1, 2, 4)
 FATAL_ATTEMPTS = 8
+SLOW_READERS = 4
+# Time for the answers to begin before the node is stopped.
+SLOW_READERS_LEAD_SECONDS = 0.4
+SLOW_READ_SECONDS = 8.0
 KINDS_BY_ROUTE = {"front": "safe", "deep": "safe", "once": "unsafe"}
 
 
@@ -105,9 +120,9 @@
             await asyncio.gather(*tasks, return_exceptions=True)
             for machine in self._machines:
                 await machine.close()
-        self.record.node_disturbed_at = {
-            machine.number: machine.node_disturbed_at for machine in self._machines
-        }
+        for machine in self._machines:
+            self.record.node_disturbed_at[machine.number] = machine.node_disturbed_at
+            self.record.node_harmed_at[machine.number] = machine.node_harmed_at
         return find_violations(self.record) + self._check_recovery()
 
     def _check_recovery(self) -> list[str]:
@@ -196,31 +211,58 @@
                 await self._send_request(pool, request, target)
         pool.close_idle()
 
-    async def _send_request(
-        self, pool: ConnectionPool, request: SentRequest, target: str
-    ) -> None:
+    def _build_head(self, request: SentRequest, target: str, seconds: float) -> bytes:
         method = "GET" if request.idempotent else "POST"
-        head = (
+        return (
             f"{method} {target} HTTP/1.1\r\nHost: {VIRTUAL_HOST}\r\n"
             f"X-Primroseglade-Request-Id: {request.request_id}\r\n"
-            f"X-Primroseglade-Deadline-Ms: {REQUEST_TIMEOUT_SECONDS * 1000:.0f}\r\n"
+            f"X-Primroseglade-Deadline-Ms: {seconds * 1000:.0f}\r\n"
             f"Authorization: Token {request.key}\r\nContent-Length: 0\r\n\r\n"
-        )
+        ).encode()
+
+    async def _send_request(
+        self, pool: ConnectionPool, request: SentRequest, target: str
+    ) -> None:
+        head = self._build_head(request, target, REQUEST_TIMEOUT_SECONDS)
         connection = await pool.acquire()
         try:
-            answer = await connection.exchange(head.encode())
+            answer = await connection.exchange(head)
+        except MalformedResponseError:
+            request.has_foreign_headers = True
+            raise
         finally:
             pool.release(connection)
         request.status = answer.status
+        own_id = request.request_id.encode()
+        request.has_foreign_headers = any(
+            value != own_id
+            for name, value in answer.headers
+            if name.lower() in (b"x-primroseglade-request-id", SEAL.lower().encode())
+        )
         headers = {name.lower(): value.decode() for name, value in answer.headers}
         if headers.get(b"server-leaving") == "1":
             instance = headers[INSTANCE_HEADER.lower().encode()]
             self.record.leaving_passed_on_at.setdefault(
                 (request.machine, instance), time.monotonic()
             )
-        request.has_expected_body = (
-            answer.body == f"{request.request_id} {'x' * 2000} end".encode()
+        request.has_expected_body = answer.body == build_body(request.request_id)
+
+    async def read_slowly(self, machine: Machine) -> None:
+        """Request a large answer, and read it at the pace of a slow link."""
+        self._last_request_number += 1
+        read = SlowRead(
+            f"s{self._last_request_number}", machine.number, time.monotonic()
         )
+        self.record.slow_reads.append(read)
+        key = next(iter(self._active_keys))
+        request = SentRequest(read.request_id, key, True, read.sent_at, machine.number)
+        self.record.requests[read.request_id] = request
+        target = f"/{machine.service}/{LARGE_MARK.decode()}{read.request_id}"
+        head = self._build_head(request, target, SLOW_READ_SECONDS)
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(SLOW_READ_SECONDS):
+                await read_slowly(machine.address(OUTBOUND_PORT), head, read)
+        read.ended_at = time.monotonic()
 
     async def _record_events(self, machine: Machine) -> None:
         """Record the events of a machine's backend server until cancelled."""
@@ -234,6 +276,8 @@
                     str(event["tenant"]),
                     bool(event["key_seen"]),
                     event_time,
+                    str(event["lifetime"]),
+                    bool(event["failed"]),
                 )
                 self.record.executions.setdefault(execution.request_id, []).append(
                     execution
@@ -354,6 +398,30 @@
     await soak.get_machine(fault).stop_node()
 
 
+@_injects("node-stop-slow-readers")
+async def _stop_node_with_slow_readers(soak: Soak, fault: ScheduledFault) -> None:
+    """Stop a node while callers read large answers from it."""
+    machine = soak.get_machine(fault)
+    async with asyncio.TaskGroup() as group:
+        for _ in range(SLOW_READERS):
+            group.create_task(soak.read_slowly(machine))
+        await asyncio.sleep(SLOW_READERS_LEAD_SECONDS)
+        await machine.stop_node()
+
+
+@_injects("backend-leave-twice")
+async def _drain_backend_twice(soak: Soak, fault: ScheduledFault) -> None:
+    await soak.get_machine(fault).drain_backend_twice(fault.duration_seconds)
+
+
+@_injects("backend-spoils-answers")
+async def _spoil_answers(soak: Soak, fault: ScheduledFault) -> None:
+    machine = soak.get_machine(fault)
+    machine.tell_backend(spoiling=True)
+    await asyncio.sleep(fault.duration_seconds)
+    machine.tell_backend(spoiling=False)
+
+
 @_injects("backend-leave")
 async def _drain_backend(soak: Soak, fault: ScheduledFault) -> None:
     await soak.get_machine(fault).drain_backend()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
     find_violations,
     Record,
     SentRequest,
+    SlowRead,
 )
 from soak.run import Soak
 
@@ -111,9 +112,30 @@
     record.leaving_passed_on_at[0, "i-1"] = 7.5
 
 
+def turn_failure_into_success(record: Record) -> None:
+    """Answer a request with success that the backend server answered with a failure."""
+    record.executions["r1"][0].failed = True
+
+
+def add_foreign_headers(record: Record) -> None:
+    """Return the ID of another request."""
+    record.requests["r1"].has_foreign_headers = True
+
+
+def cut_slow_read(record: Record) -> None:
+    """End an answer early while its node stops as planned."""
+    read = SlowRead("s1", 0, 10.0)
+    read.begun = True
+    read.ended_at = 14.0
+    record.slow_reads.append(read)
+
+
 @pytest.mark.parametrize(
     "harm",
     [
+        turn_failure_into_success,
+        add_foreign_headers,
+        cut_slow_read,
         exceed_limit,
         end_too_many_servers,
         ignore_stated_drain,
@@ -150,3 +172,23 @@
     ignore_stated_drain(record)
     record.node_disturbed_at[0] = [8.0]
     assert find_violations(record) == []
+
+
+def test_drain_binds_the_lifetime_that_it_names():
+    """Guards against a check that takes the next start of an instance for the drained
+    one.
+    """
+    record = build_record()
+    record.drain_acknowledged_at["i-1/100"] = 7.0
+    record.executions["r1"][0].lifetime = "i-1/200"
+    assert find_violations(record) == []
+
+
+def test_kill_excuses_the_end_of_a_slow_read():
+    """Guards against a check that is stricter than the rule, which is about planned
+    stops.
+    """
+    record = build_record()
+    cut_slow_read(record)
+    record.node_harmed_at[0] = [13.0]
+    assert find_violations(record) == []
