Check responses of the product's own node like those of the sidecar

What callers saw: nothing yet; the product's own node takes the status of a truncated answer for that of the next one, adds trailers to the head, and reads a head without end until the call's deadline.

Change: the checks for a status line within a head and for the size of what is no body move to response_checks.py, and both connections use them; trailers are dropped.

--- a/primroseglade/calls/connections.py
+++ b/primroseglade/calls/connections.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from ..response_checks import contains_status_line, ReceivedBytes
 from ..sockets import set_dead_peer_options
 from ..verdicts import may_have_run, not_run, Reason, Refusal
 from .call import Body, Context
@@ -46,7 +47,9 @@
         self._max_buffered_bytes = max_buffered_bytes
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
+        self._reason_phrase = b""
         self._headers: Headers = []
+        self._received = ReceivedBytes()
         self._chunks: list[bytes] = []
         self._size = 0
         self._response: Response | None = None
@@ -76,6 +79,11 @@
         done = self._response is None or self._response.complete
         return self._reusable and done and not self.closed
 
+    @property
+    def _is_complete(self) -> bool:
+        """Whether the whole response was received."""
+        return self._response is not None and self._response.complete
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options that detect a dead peer."""
         assert isinstance(transport, asyncio.Transport)
@@ -113,21 +121,32 @@
             self.close()
             return
         self.first_byte_received = True
+        self._received.add(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._reject_response("the response switches protocols")
         except httptools.HttpParserError as error:
             self._reject_response(f"invalid HTTP/1.1 response: {error}")
+        if self._received.is_framing_excessive and not self._is_complete:
+            size = self._received.framing_bytes
+            self._reject_response(f"{size} bytes outside the response's body")
 
     def on_message_begin(self) -> None:
         """Handle the start of a response; called by the parser."""
         if self._parser is None:
             self._reusable = False
+        self._reason_phrase = b""
         self._headers = []
 
+    def on_status(self, reason_phrase: bytes) -> None:
+        """Handle a part of the reason phrase; called by the parser."""
+        self._reason_phrase += reason_phrase
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Handle a header; called by the parser."""
+        """Handle a header or a trailer, which is dropped; called by the parser."""
+        if self._response is not None:
+            return
         self._headers.append((name.lower(), value.rstrip(b" \t")))
 
     def on_headers_complete(self) -> None:
@@ -135,6 +154,9 @@
         if self._parser is None:
             # A second response to one request; the connection will not be reused.
             return
+        if contains_status_line(self._reason_phrase, self._headers):
+            self._reject_response("a line of the head holds another status line")
+            return
         status = self._parser.get_status_code()
         if status < 200:
             return
@@ -163,6 +185,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Handle a part of the body; called by the parser."""
+        self._received.add_body(len(body))
         if self._response is None:
             return
         self._chunks.append(body)
@@ -238,6 +261,7 @@
 
     def _begin(self, head_only: bool) -> None:
         self._parser = httptools.HttpResponseParser(self)
+        self._received.reset()
         self._chunks = []
         self._size = 0
         self._response = None
--- a/primroseglade/sidecar/client_connection.py
+++ b/primroseglade/sidecar/client_connection.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
-import re
 from collections.abc import Callable
 
 import httptools
 
+from ..response_checks import contains_status_line, ReceivedBytes
 from ..sockets import set_dead_peer_options, set_unacknowledged_limit, was_reset
 from .held_responses import HeldResponses
 
@@ -33,15 +33,8 @@
 # Sum over the connections to one address.
 MAX_HELD_RESPONSE_BYTES = 48 * 1024 * 1024
 MIN_BODY_PART_BYTES = 64 * 1024
-# Maximum size of all that one request receives besides bodies, such as heads, chunk
-# headers and blank lines; more is allowed in proportion to the bodies.
-MAX_FRAMING_BYTES = 128 * 1024
-MAX_FRAMING_RATIO = 1 / 8
 # Interim responses and responses to other requests that may precede the response.
 MAX_SKIPPED_RESPONSES = 32
-# In a reason phrase or header value, it shows that a truncated response precedes this
-# one: its last line runs on into the next status line.
-STATUS_LINE = re.compile(rb"HTTP/\d\.\d [1-5]\d\d( |$)")
 
 
 class ExchangeError(Exception):
@@ -112,8 +105,7 @@
         "_parser",
         "_pending",
         "_reason_phrase",
-        "_received_body_bytes",
-        "_received_bytes",
+        "_received",
         "_response",
         "_reusable",
         "_skipped_responses",
@@ -136,8 +128,7 @@
         self._body_parts: list[bytes | bytearray] = []
         self._body_bytes = 0
         # Since the request was sent.
-        self._received_bytes = 0
-        self._received_body_bytes = 0
+        self._received = ReceivedBytes()
         self._skipped_responses = 0
         self._pending: asyncio.Future[Response] | None = None
         self._accept: ResponseFilter | None = None
@@ -195,7 +186,7 @@
             # Unsolicited bytes could be mistaken for the response to the next request.
             self.close()
             return
-        self._received_bytes += len(data)
+        self._received.add(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -235,7 +226,7 @@
         assert self._response is not None
         self._head_complete = True
         self._response.status = self._parser.get_status_code()
-        if self._contains_status_line(self._response):
+        if contains_status_line(self._reason_phrase, self._response.headers):
             self._reject("a status line within a line of the head")
             return
         framed = self._response.status in (204, 304) or self._response.status < 200
@@ -255,7 +246,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body (httptools callback)."""
-        self._received_body_bytes += len(body)
+        self._received.add_body(len(body))
         self._body_bytes += len(body)
         parts = self._body_parts
         if not parts or len(parts[-1]) >= MIN_BODY_PART_BYTES:
@@ -298,7 +289,7 @@
         pending = self._pending = self._loop.create_future()
         self._accept = accept
         self._head_only = head_only
-        self._received_bytes = self._received_body_bytes = 0
+        self._received.reset()
         self._skipped_responses = 0
         is_large = len(request) > MAX_WINDOW_REQUEST_BYTES
         if is_large:
@@ -340,10 +331,8 @@
 
         A response that is complete after the first read needs no check.
         """
-        framing_bytes = self._received_bytes - self._received_body_bytes
-        max_bytes = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self._received_body_bytes
-        if framing_bytes > max_bytes:
-            self._reject(f"{framing_bytes} bytes besides the body")
+        if self._received.is_framing_excessive:
+            self._reject(f"{self._received.framing_bytes} bytes outside bodies")
         elif self._body_bytes:
             self._held_responses.update(self, self._body_bytes)
 
@@ -353,12 +342,6 @@
         if self._skipped_responses > MAX_SKIPPED_RESPONSES:
             self._reject(f"{self._skipped_responses} responses before the final one")
 
-    def _contains_status_line(self, response: Response) -> bool:
-        return STATUS_LINE.search(self._reason_phrase) is not None or any(
-            b"HTTP/" in value and STATUS_LINE.search(value)
-            for _, value in response.headers
-        )
-
     def _drop_body(self) -> None:
         self._body_parts = []
         self._body_bytes = 0
