Log malformed answers of backend servers

Cause: a faulty backend server showed in failed calls only; no line named it or what it sent. Change: event 332, at most once a second, with the number of answers and the last reason.

--- a/primroseglade/observe/events.py
+++ b/primroseglade/observe/events.py
@@ -254,6 +254,14 @@
     "Calls relayed to the peer failed; it is tried again after the time in the "
     "field `seconds`.",
 )
+BACKEND_ANSWER_MALFORMED = _define(
+    332,
+    "warning",
+    "backend server sends malformed answers",
+    "Bytes that are no valid answer, an answer that contradicts itself or one without "
+    "end. Their requests may have run, their connections are closed. `answers` counts "
+    "them since the last line, at most one a second; `reason` is that of the last.",
+)
 BACKEND_REPORT_REFUSED = _define(
     340,
     "warning",
--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -7,6 +7,7 @@
 
 from ..observe.events import (
     BACKEND_ANNOUNCED,
+    BACKEND_ANSWER_MALFORMED,
     BACKEND_DRAINING,
     BACKEND_REPORT_REFUSED,
     BACKEND_UNAVAILABLE,
@@ -16,7 +17,7 @@
 from .backend_dialect import BackendDialect, ParsedAnswerHead, ServedAnswer
 from .backend_queue import BackendQueue
 from .call_ratios import CallRatioEstimator
-from .client_connection import ExchangeError, Response
+from .client_connection import ExchangeError, MalformedResponseError, Response
 from .cold_tracker import ColdTracker
 from .drained_lifetimes import DrainedLifetimes
 from .failure_ratio import FailureRatio
@@ -118,6 +119,9 @@
         self._enabled = False
         self._evacuated = False
         self._failure_ratio = FailureRatio(time.monotonic)
+        # Since they were last logged.
+        self._malformed_answers = 0
+        self._malformed_reason = ""
         self.warm_up = warm_up
         self.cold = ColdTracker(
             service,
@@ -459,6 +463,14 @@
     def log(self) -> None:
         """Log what has changed in the last second."""
         self.statements.log_changes()
+        if self._malformed_answers:
+            self._journal.emit(
+                BACKEND_ANSWER_MALFORMED,
+                backend=self._report and self._report.instance,
+                answers=self._malformed_answers,
+                reason=self._malformed_reason,
+            )
+            self._malformed_answers = 0
         self.queue.statistics.log(
             self._journal,
             self.instance,
@@ -565,6 +577,9 @@
             )
         except ExchangeError as error:
             self._failure_ratio.record(True)
+            if isinstance(error, MalformedResponseError):
+                self._malformed_answers += 1
+                self._malformed_reason = error.detail
             if not error.sent:
                 raise not_run(Reason.CONNECTION_LOST, error.detail) from error
             raise may_have_run(Reason.CONNECTION_LOST, error.detail) from error
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from primroseglade.observe.events import TASK_FAILED
+from primroseglade.observe.events import (
+    BACKEND_ANSWER_MALFORMED,
+    Event,
+    TASK_FAILED,
+)
 from primroseglade.sidecar.http_client import ConnectionPool
 from primroseglade.sidecar.http_messages import render_status_line, Reply, Request
 
@@ -124,6 +128,34 @@
         assert count_executions(mesh, request_id) == 1
 
 
+async def test_malformed_answers_are_logged(mesh: Mesh):
+    """Guards against a faulty backend server that operators cannot find: callers see
+    that requests fail, and logs do not say where.
+    """
+
+    def spoil(request: Request, headers: dict[str, str]) -> Reply:
+        return Reply(
+            b"HTTP/1.1 200 OK\r\nX-Load: 1HTTP/1.1 500 \r\n\r\n", b"", framed=False
+        )
+
+    logged: list[dict[str, object]] = []
+
+    def record(event: Event, **fields: object) -> None:
+        if event is BACKEND_ANSWER_MALFORMED:
+            logged.append(fields)
+
+    for instance in mesh.instances[1:]:
+        instance.backend.answer = spoil
+        instance.node._journal.emit = record  # type: ignore[method-assign]
+    answer = await send_request(mesh.instances[0], "/once/a", "spoiled", method="POST")
+    assert answer.status == 502
+    await asyncio.sleep(1.2)
+    (fields,) = logged
+    assert fields["answers"] == 1
+    assert "a status line within a line of the head" in str(fields["reason"])
+    assert str(fields["backend"]).startswith("i-deep")
+
+
 async def test_a_success_without_signature_is_a_failure(mesh: Mesh):
     """A successful answer without the backend server's signature is not forwarded."""
 
