Renew the assumption that a server is cold when a late report follows its end

Cause: ColdTracker.assume did nothing while starts were limited, whether the server was known to be cold or only taken for it since its connections closed. Near the end of that time a late report made the server available, the assumption ended, and all calls started.

Change: only knowledge keeps it from starting anew.

--- a/primroseglade/sidecar/cold_tracker.py
+++ b/primroseglade/sidecar/cold_tracker.py
@@ -48,9 +48,11 @@
         """Treat the backend server as cold until it says whether it is.
 
         Without a limit on starts at cold backend servers this has no effect. If it is
-        known to be cold already, nothing changes.
+        known to be cold already, nothing changes; if that is only assumed, the
+        assumption begins anew.
         """
-        if not self._get_instance() or self._warm_up.start_rate:
+        is_known = self._warm_up.start_rate and not self._warm_up.is_assumed
+        if not self._get_instance() or is_known:
             return
         self._warm_up.assume_cold()
         if self._warm_up.is_assumed:
--- a/tests/test_mesh_warm_up.py
+++ b/tests/test_mesh_warm_up.py
@@ -162,6 +162,24 @@
         server.cancel()
 
 
+async def test_late_report_renews_the_assumption_that_a_server_is_cold():
+    """Guards against a burst at a cold backend server whose end was noticed a moment
+    before the late report: what was assumed then ends before the server has warmed up.
+    """
+    mesh = build_mesh(1)
+    async with run_mesh(mesh):
+        restarted = mesh.instances[1]
+        backend, node = restarted.backend, restarted.node
+        assert set(await send_calls(mesh.instances[0], 10, 0.1)) == {200}
+        restarted.backend_task.cancel()
+        node.backend.cold.assume()
+        node.backend.mark_unavailable()
+        remaining = node.backend.warm_up.remaining_seconds
+        await asyncio.sleep(remaining - 0.2)
+        assert await backend.report_status(cold_ms=0) == 200
+        assert node.backend.warm_up.remaining_seconds > 0.5
+
+
 async def test_backend_server_that_is_only_assumed_cold_is_used_at_once():
     """Guards against a second of few calls at a warm backend server: its health check
     says that it is warm.
