Forget the cold time of a process that has ended

What callers saw: nothing; calls could start at once at a backend server that ended while it was cold and is cold for longer after its restart.

Cause: what was known of one lifetime was kept for the next: a late report made the server available, and known cold time kept it from being assumed cold.

Change: a server that is marked as unavailable is no longer known to be cold; the next report makes the node assume it.

--- a/primroseglade/sidecar/backend.py
+++ b/primroseglade/sidecar/backend.py
@@ -525,6 +525,8 @@
         if self._unavailable:
             return
         self._unavailable = True
+        # The next process may be cold for longer than the one that has ended.
+        self.warm_up.record_cold_time(0.0)
         self.pool.close_idle()
         self._journal.emit(
             BACKEND_UNAVAILABLE, backend=self._report and self._report.instance
--- a/tests/test_mesh_warm_up.py
+++ b/tests/test_mesh_warm_up.py
@@ -180,6 +180,21 @@
         assert node.backend.warm_up.remaining_seconds > 0.5
 
 
+async def test_cold_time_of_an_ended_process_is_not_that_of_the_next():
+    """Guards against a burst at a backend server that has ended while it was cold, and
+    is known to be cold only for as long as its former process was.
+    """
+    mesh = build_mesh(1)
+    async with run_mesh(mesh):
+        restarted = mesh.instances[1]
+        backend, node = restarted.backend, restarted.node
+        restarted.backend_task.cancel()
+        node.backend.warm_up.record_cold_time(0.2)
+        node.backend.mark_unavailable()
+        assert await backend.report_status(cold_ms=0) == 200
+        assert node.backend.warm_up.remaining_seconds > 0.5
+
+
 async def test_backend_server_that_is_only_assumed_cold_is_used_at_once():
     """Guards against a second of few calls at a warm backend server: its health check
     says that it is warm.
