Check each line of a head only where it may hold a second status line

Cause: looking at each header value took 4 of the 6 us that the checks added to an exchange. Change: a head that comes in one read, without a second status line in that read, is not searched line by line; sizes are counted as numbers, not by an object; what is held is released only if it was counted. The 43 tests of spoiled and endless answers pass.

--- a/primroseglade/calls/connections.py
+++ b/primroseglade/calls/connections.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from ..response_checks import contains_status_line, ReceivedBytes
+from ..response_checks import contains_status_line, is_framing_excessive
 from ..sockets import set_dead_peer_options
 from ..verdicts import may_have_run, not_run, Reason, Refusal
 from .call import Body, Context
@@ -49,7 +49,8 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._reason_phrase = b""
         self._headers: Headers = []
-        self._received = ReceivedBytes()
+        self._received_bytes = 0
+        self._received_body_bytes = 0
         self._chunks: list[bytes] = []
         self._size = 0
         self._response: Response | None = None
@@ -121,15 +122,16 @@
             self.close()
             return
         self.first_byte_received = True
-        self._received.add(len(data))
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._reject_response("the response switches protocols")
         except httptools.HttpParserError as error:
             self._reject_response(f"invalid HTTP/1.1 response: {error}")
-        if self._received.is_framing_excessive and not self._is_complete:
-            size = self._received.framing_bytes
+        received_bytes, body_bytes = self._received_bytes, self._received_body_bytes
+        if not self._is_complete and is_framing_excessive(received_bytes, body_bytes):
+            size = received_bytes - body_bytes
             self._reject_response(f"{size} bytes outside the response's body")
 
     def on_message_begin(self) -> None:
@@ -154,7 +156,8 @@
         if self._parser is None:
             # A second response to one request; the connection will not be reused.
             return
-        if contains_status_line(self._reason_phrase, self._headers):
+        lines = [self._reason_phrase, *(value for _, value in self._headers)]
+        if any(map(contains_status_line, lines)):
             self._reject_response("a line of the head holds another status line")
             return
         status = self._parser.get_status_code()
@@ -185,7 +188,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Handle a part of the body; called by the parser."""
-        self._received.add_body(len(body))
+        self._received_body_bytes += len(body)
         if self._response is None:
             return
         self._chunks.append(body)
@@ -261,7 +264,7 @@
 
     def _begin(self, head_only: bool) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._received.reset()
+        self._received_bytes = self._received_body_bytes = 0
         self._chunks = []
         self._size = 0
         self._response = None
--- a/primroseglade/platform/dialect.py
+++ b/primroseglade/platform/dialect.py
@@ -144,22 +144,24 @@
             MalformedResponseError: The head contradicts itself, as one that was put
                 together from several responses does.
         """
-        request_ids: set[bytes] = set()
-        signatures: set[bytes] = set()
-        not_executed = False
+        request_id = b""
+        signature: bytes | None = None
+        not_executed = is_contradictory = False
         dropped = DROPPED_FROM_RESPONSES
         lines = [render_status_line(answer.status)]
         for name, value in answer.headers:
             lower = name.lower()
             if lower == REQUEST_ID:
-                request_ids.add(value)
+                is_contradictory |= request_id not in (b"", value)
+                request_id = value
             elif lower == SIGNATURE:
-                signatures.add(value)
+                is_contradictory |= signature not in (None, value)
+                signature = value
             elif lower == NOT_EXECUTED:
                 not_executed = True
             elif lower == CONNECTION:
                 dropped = dropped | _split_tokens(value)
-        if len(request_ids) > 1 or len(signatures) > 1:
+        if is_contradictory:
             raise MalformedResponseError("several request IDs or signatures")
         if not_executed and answer.status < MIN_REJECTION_STATUS:
             raise MalformedResponseError(f"not executed, but status {answer.status}")
@@ -170,8 +172,8 @@
         ]
         return ParsedAnswerHead(
             b"".join(lines),
-            request_ids.pop() if request_ids else b"",
-            bool(signatures),
+            request_id,
+            signature is not None,
             not_executed,
             read_statements(answer.headers),
         )
--- a/primroseglade/sidecar/client_connection.py
+++ b/primroseglade/sidecar/client_connection.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from ..response_checks import contains_status_line, ReceivedBytes
+from ..response_checks import contains_status_line, is_framing_excessive
 from ..sockets import set_dead_peer_options, set_unacknowledged_limit, was_reset
 from .held_responses import HeldResponses
 
@@ -33,6 +33,7 @@
 # Sum over the connections to one address.
 MAX_HELD_RESPONSE_BYTES = 48 * 1024 * 1024
 MIN_BODY_PART_BYTES = 64 * 1024
+MAX_SEARCHED_BYTES = 16 * 1024
 # Interim responses and responses to other requests that may precede the response.
 MAX_SKIPPED_RESPONSES = 32
 
@@ -95,17 +96,20 @@
         "_accept",
         "_body_bytes",
         "_body_parts",
+        "_checks_lines",
         "_closed_here",
         "_delimited_by_close",
         "_head_complete",
         "_head_only",
         "_held_responses",
+        "_is_held",
         "_loop",
         "_on_lost",
         "_parser",
         "_pending",
         "_reason_phrase",
-        "_received",
+        "_received_body_bytes",
+        "_received_bytes",
         "_response",
         "_reusable",
         "_skipped_responses",
@@ -120,6 +124,7 @@
         self._loop = asyncio.get_running_loop()
         self._on_lost = on_lost
         self._held_responses = held_responses
+        self._is_held = False
         self._closed_here = False
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -128,11 +133,13 @@
         self._body_parts: list[bytes | bytearray] = []
         self._body_bytes = 0
         # Since the request was sent.
-        self._received = ReceivedBytes()
+        self._received_bytes = 0
+        self._received_body_bytes = 0
         self._skipped_responses = 0
         self._pending: asyncio.Future[Response] | None = None
         self._accept: ResponseFilter | None = None
         self._reusable = True
+        self._checks_lines = True
         self._head_complete = False
         self._head_only = False
         self._delimited_by_close = False
@@ -150,11 +157,6 @@
             and not transport.get_write_buffer_size()
         )
 
-    @property
-    def _is_awaiting(self) -> bool:
-        """Whether a request waits for its response."""
-        return self._pending is not None and not self._pending.done()
-
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the socket options that detect a dead peer."""
         self._transport = transport
@@ -175,36 +177,45 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request that waits for a response."""
         self._transport = None
-        self._held_responses.release(self)
+        self._release()
         reason = str(exc) if exc else "closed by the server"
         self._fail(ExchangeError(f"connection lost: {reason}", sent=True))
         self._on_lost(not self._closed_here)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        if not self._is_awaiting:
+        pending = self._pending
+        if pending is None or pending.done():
             # Unsolicited bytes could be mistaken for the response to the next request.
             self.close()
             return
-        self._received.add(len(data))
+        # Checking each line is slow; a head that comes in one piece, without a second
+        # status line in it, needs no check.
+        self._checks_lines = (
+            self._received_bytes > 0
+            or len(data) > MAX_SEARCHED_BYTES
+            or data.find(b"HTTP/", 1) > 0
+        )
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._reject(str(error))
             return
-        if self._is_awaiting:
+        if not pending.done():
             self._check_size()
 
     def on_message_begin(self) -> None:
         """Start a new response (httptools callback)."""
-        if not self._is_awaiting:
+        if self._pending is None or self._pending.done():
             # A response that no request is waiting for. It may be truncated: the parser
             # would take the next response for the rest of it.
             self._reusable = False
         self._response = Response(0, [])
         self._head_complete = False
         self._reason_phrase = b""
-        self._drop_body()
+        if self._body_parts:
+            self._drop_body()
         self._delimited_by_close = False
 
     def on_status(self, reason_phrase: bytes) -> None:
@@ -226,7 +237,7 @@
         assert self._response is not None
         self._head_complete = True
         self._response.status = self._parser.get_status_code()
-        if contains_status_line(self._reason_phrase, self._response.headers):
+        if self._checks_lines and self._contains_status_line(self._response):
             self._reject("a status line within a line of the head")
             return
         framed = self._response.status in (204, 304) or self._response.status < 200
@@ -246,7 +257,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body (httptools callback)."""
-        self._received.add_body(len(body))
+        self._received_body_bytes += len(body)
         self._body_bytes += len(body)
         parts = self._body_parts
         if not parts or len(parts[-1]) >= MIN_BODY_PART_BYTES:
@@ -289,7 +300,7 @@
         pending = self._pending = self._loop.create_future()
         self._accept = accept
         self._head_only = head_only
-        self._received.reset()
+        self._received_bytes = self._received_body_bytes = 0
         self._skipped_responses = 0
         is_large = len(request) > MAX_WINDOW_REQUEST_BYTES
         if is_large:
@@ -304,8 +315,10 @@
             raise
         finally:
             self._pending = None
-            self._drop_body()
-            self._held_responses.release(self)
+            if self._body_parts:
+                self._drop_body()
+            if self._is_held:
+                self._release()
             if is_large and self._transport is not None:
                 set_unacknowledged_limit(self._transport, MAX_UNACKNOWLEDGED_MS)
 
@@ -331,17 +344,27 @@
 
         A response that is complete after the first read needs no check.
         """
-        if self._received.is_framing_excessive:
-            self._reject(f"{self._received.framing_bytes} bytes outside bodies")
+        received_bytes, body_bytes = self._received_bytes, self._received_body_bytes
+        if is_framing_excessive(received_bytes, body_bytes):
+            self._reject(f"{received_bytes - body_bytes} bytes outside bodies")
         elif self._body_bytes:
+            self._is_held = True
             self._held_responses.update(self, self._body_bytes)
 
     def _skip_response(self) -> None:
         self._skipped_responses += 1
-        self._held_responses.release(self)
+        self._release()
         if self._skipped_responses > MAX_SKIPPED_RESPONSES:
             self._reject(f"{self._skipped_responses} responses before the final one")
 
+    def _contains_status_line(self, response: Response) -> bool:
+        values = [value for _, value in response.headers]
+        return any(map(contains_status_line, [self._reason_phrase, *values]))
+
+    def _release(self) -> None:
+        self._is_held = False
+        self._held_responses.release(self)
+
     def _drop_body(self) -> None:
         self._body_parts = []
         self._body_bytes = 0
