Read stored drains also if the first report says draining

Cause: the read began with the first report that says ready; a node whose first report said draining never read them. Change: each report starts the read until it has succeeded; only a first report that says ready waits for it.

--- a/primroseglade/sidecar/backend_registration.py
+++ b/primroseglade/sidecar/backend_registration.py
@@ -110,8 +110,10 @@
         """Apply a status report; return whether to acknowledge it."""
         previous_instance = self._backend.instance
         is_draining = report.state is BackendState.DRAINING
-        if not self._backend.lifetime[0] and not is_draining:
-            await self._wait_for_stored_drains()
+        if not self._drains_loaded.is_set():
+            self._supervisor.start_once("stored drains", self._load_drains)
+            if not self._backend.lifetime[0] and not is_draining:
+                await self._wait_for_stored_drains()
         if self._backend.is_stale(report):
             if is_draining:
                 if self._is_earlier_lifetime(report.instance, report.start_time_ms):
@@ -178,9 +180,6 @@
         no peer has any. Without an answer the report is handled first; the drains are
         applied once they are read.
         """
-        if self._drains_loaded.is_set():
-            return
-        self._supervisor.start_once("stored drains", self._load_drains)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(ACK_TIMEOUT_SECONDS):
                 await self._drains_loaded.wait()
--- a/primroseglade/sidecar/client_connection.py
+++ b/primroseglade/sidecar/client_connection.py
@@ -30,7 +30,7 @@
 # A server closes an idle connection when the timeout that it announced expires. Reuse
 # stops one second earlier, to allow for the transit of a request.
 IDLE_TIMEOUT_MARGIN_SECONDS = 1.0
-# Sum over the connections to one address.
+# Incomplete responses, in sum over the connections to one address.
 MAX_HELD_RESPONSE_BYTES = 48 * 1024 * 1024
 MIN_BODY_PART_BYTES = 64 * 1024
 MAX_SEARCHED_BYTES = 16 * 1024
