Look for drains of a peer only if it has any

Cause: whether a peer may take calls is asked for each candidate of a call, up to 16 times; since drains are kept by lifetime that looked one up each time. Change: nothing is looked up if there are none, as before.

--- a/primroseglade/sidecar/peer.py
+++ b/primroseglade/sidecar/peer.py
@@ -116,6 +116,8 @@
         Its node does not know of that if it was killed just after it passed on the
         answer.
         """
+        if not self._drained.start_times:
+            return False
         return self._drained.covers(self.state.instance, self.state.start_time_ms)
 
     @property
