Let the emulator's streams have room for answers

What callers saw: nothing; since answers wait for room on streams, four emulated plays failed with all calls answered as lost by the node. Cause: the emulator's stand-in for a stream lacked the method that nodes call before they send an answer. Change: it has room at once.

--- a/primroseglade/emulator/mesh.py
+++ b/primroseglade/emulator/mesh.py
@@ -208,6 +208,9 @@
         """Keep the answer."""
         self.frame = frame
 
+    async def wait_for_room(self, answer_bytes: int) -> None:
+        """Return at once: nothing is sent."""
+
 
 class EmulatedPeer(Peer):
     """Another node, to which calls and questions go through the mesh."""
