Soak: limits and statements to leave bind the lifetime that made them

The trace: the limit of 2 a second was stated at 19.2 s by the process of i-0-1 that was leaving; the next one started under its ID at 20.1 s, stated none until 25.4 s, and its node logged none (event 327). The check was keyed by instance, as instances never came back before. Change: limits and statements are kept by lifetime, as drains are; a test for the check.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -17,8 +17,8 @@
 from primroseglade.sidecar.http_messages import render_status_line, Reply, Request
 from primroseglade.stand_ins.mesh_backend import MeshBackend
 
-# Names the instance in answers, for the checks.
-INSTANCE_HEADER = "X-Soak-Instance"
+# Names the start of the instance in answers, for the checks.
+LIFETIME_HEADER = "X-Soak-Lifetime"
 # In the target of a request under which the process ends.
 FATAL_MARK = b"fatal-"
 FATAL_SECONDS = 0.01
@@ -158,7 +158,7 @@
             head = build_head(500, request_id, SEAL, request_id)
             return Reply(head, f"{request_id} failed".encode())
         head = reply.head.replace(b"Seal: s1", f"Seal: {request_id}".encode())
-        head += f"{INSTANCE_HEADER}: {self.instance}\r\n".encode()
+        head += f"{LIFETIME_HEADER}: {self.lifetime}\r\n".encode()
         size = LARGE_BODY_BYTES if LARGE_MARK in request.target else BODY_BYTES
         return Reply(head, build_body(request_id, size))
 
@@ -173,7 +173,7 @@
     def state_limit(self, limit: float) -> None:
         """State a limit on requests from now on; 0 for none."""
         self.request_limit = f"{limit:g}" if limit else ""
-        write_event(instance=self.instance, limit=limit)
+        write_event(lifetime=self.lifetime, limit=limit)
 
     def state_leaving(self) -> None:
         """State in all answers from now on that it leaves, without a report."""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -158,14 +158,15 @@
         self.drain_acknowledged_at: dict[str, float] = {}
         self.tenants_by_key: dict[str, str] = {}
         # When a machine's node first passed on an answer in which an instance states
-        # that it leaves, by machine and instance.
+        # that it leaves, by machine and lifetime.
         self.leaving_passed_on_at: dict[tuple[int, str], float] = {}
         # When a machine's node was started, stopped, killed, paused or resumed.
         self.node_disturbed_at: dict[int, list[float]] = {}
         # When it was killed, paused or resumed.
         self.node_harmed_at: dict[int, list[float]] = {}
         self.slow_reads: list[SlowRead] = []
-        # Times and values of the limits that instances stated; 0 for none.
+        # Times and values of the limits that instances stated; 0 for none. By lifetime:
+        # the next one knows nothing of them.
         self.stated_limits: dict[str, list[tuple[float, float]]] = {}
         # By target.
         self.fatal_requests: dict[str, FatalRequest] = {}
@@ -195,8 +196,8 @@
         for read in record.slow_reads
         if read.begun and not read.complete and not _was_harmed(record, read)
     ]
-    for instance, changes in record.stated_limits.items():
-        violations += _check_limit(record, instance, changes)
+    for lifetime, changes in record.stated_limits.items():
+        violations += _check_limit(record, lifetime, changes)
     for target, fatal_request in record.fatal_requests.items():
         violations += _check_fatal_request(record, target, fatal_request)
     return violations
@@ -230,7 +231,7 @@
 
 
 def _check_limit(
-    record: Record, instance: str, changes: list[tuple[float, float]]
+    record: Record, lifetime: str, changes: list[tuple[float, float]]
 ) -> list[str]:
     """Return a violation if a window has more requests than the stated limit allows."""
     stable_from = changes[0][0] + LIMIT_STABLE_SECONDS
@@ -238,14 +239,14 @@
         execution.started_at
         for executions in record.executions.values()
         for execution in executions
-        if execution.instance == instance and execution.started_at >= stable_from
+        if execution.lifetime == lifetime and execution.started_at >= stable_from
     )
     for start in starts:
         allowed = _count_allowed(changes, start)
         count = sum(start <= at < start + LIMIT_WINDOW_SECONDS for at in starts)
         if count > allowed:
             return [
-                f"{instance} got {count} requests in {LIMIT_WINDOW_SECONDS:g} s from "
+                f"{lifetime} got {count} requests in {LIMIT_WINDOW_SECONDS:g} s from "
                 f"{start - changes[0][0]:.1f} s after it first stated a limit; allowed "
                 f"{allowed:.0f}"
             ]
@@ -286,7 +287,7 @@
     A restart or pause of the node since it passed on the statement excuses it.
     """
     passed_on_at = record.leaving_passed_on_at.get(
-        (request.machine, execution.instance)
+        (request.machine, execution.lifetime)
     )
     if passed_on_at is None or any(
         at > passed_on_at for at in record.node_disturbed_at.get(request.machine, [])
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,7 +17,7 @@
 from primroseglade.stand_ins.mesh_backend import HEALTH_PATH
 from primroseglade.stand_ins.store import StoreStandIn
 
-from .backend import build_body, FATAL_MARK, INSTANCE_HEADER, LARGE_MARK, SEAL
+from .backend import build_body, FATAL_MARK, LARGE_MARK, LIFETIME_HEADER, SEAL
 from .checks import (
     Execution,
     FatalRequest,
@@ -241,9 +241,9 @@
         )
         headers = {name.lower(): value.decode() for name, value in answer.headers}
         if headers.get(b"server-leaving") == "1":
-            instance = headers[INSTANCE_HEADER.lower().encode()]
+            lifetime = headers[LIFETIME_HEADER.lower().encode()]
             self.record.leaving_passed_on_at.setdefault(
-                (request.machine, instance), time.monotonic()
+                (request.machine, lifetime), time.monotonic()
             )
         request.has_expected_body = answer.body == build_body(request.request_id)
 
@@ -283,7 +283,7 @@
                     execution
                 )
             elif "limit" in event:
-                self.record.stated_limits.setdefault(str(event["instance"]), []).append(
+                self.record.stated_limits.setdefault(str(event["lifetime"]), []).append(
                     (event_time, float(str(event["limit"])))
                 )
             elif event.get("acknowledged"):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -192,3 +192,15 @@
     cut_slow_read(record)
     record.node_harmed_at[0] = [13.0]
     assert find_violations(record) == []
+
+
+def test_limit_binds_the_lifetime_that_states_it():
+    """Guards against a check that is stricter than the rule: the next start of an
+    instance has stated no limit.
+    """
+    record = build_record()
+    exceed_limit(record)
+    for executions in record.executions.values():
+        executions[0].lifetime = "i-1/200"
+    record.stated_limits = {"i-1/100": record.stated_limits["i-1"]}
+    assert find_violations(record) == []
