--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -5,7 +5,7 @@
 import random
 import socket
 from collections.abc import AsyncIterator
-from typing import Any
+from typing import Any, Self
 
 from primroseglade.addresses import parse_address
 from primroseglade.observe.events import Journal
@@ -357,3 +357,45 @@
     def close(self) -> None:
         """Close the connection."""
         self._sock.close()
+
+
+class FakeServer:
+    """A backend server that a test writes byte by byte; closes with its context."""
+
+    def __init__(self) -> None:
+        self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> Self:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        assert self._server is not None
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(0.01)
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT`` of the server."""
+        assert self._server is not None
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    @property
+    def connection_count(self) -> int:
+        """Number of connections that were opened."""
+        return len(self._writers)
+
+    async def answer(self, head: bytes, writer: asyncio.StreamWriter) -> None:
+        """Answer the request with this head."""
+        raise NotImplementedError
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await self.answer(await reader.readuntil(b"\r\n\r\n"), writer)
--- a/tests/test_mesh_endless_answers.py
+++ b/tests/test_mesh_endless_answers.py
@@ -1,7 +1,6 @@
 """Answers of faulty backend servers that do not end until the node gives up."""
 
 import asyncio
-import contextlib
 import time
 
 import pytest
@@ -14,6 +13,8 @@
 from primroseglade.sidecar.held_responses import HeldResponses
 from primroseglade.sidecar.http_client import ConnectionPool
 
+from .mesh import FakeServer
+
 # The longest that a caller waits for an answer.
 DEADLINE_SECONDS = 6.0
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -47,48 +48,25 @@
     return pytest.mark.parametrize("answer", answers.values(), ids=answers)
 
 
-class EndlessServer:
+class EndlessServer(FakeServer):
     """Answers requests for ``/own`` soundly, and others without end."""
 
     def __init__(self, beginning: bytes, rest: bytes):
+        super().__init__()
         self._beginning = beginning
         self._block = rest * (BLOCK_BYTES // len(rest))
-        self._server: asyncio.Server | None = None
-        self._writers: list[asyncio.StreamWriter] = []
         self.sent_bytes = 0
 
-    async def __aenter__(self) -> "EndlessServer":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self
-
-    async def __aexit__(self, *exception: object) -> None:
-        assert self._server is not None
-        self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
-        await asyncio.sleep(0.01)
-
-    def build_pool(self) -> ConnectionPool:
-        """Return a pool of connections to the server."""
-        assert self._server is not None
-        port = self._server.sockets[0].getsockname()[1]
-        return ConnectionPool(f"127.0.0.1:{port}", 1.0)
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._writers.append(writer)
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                if b"/own" in head:
-                    writer.write(OWN)
-                    continue
-                writer.write(self._beginning)
-                while not writer.transport.is_closing():
-                    writer.write(self._block)
-                    self.sent_bytes += len(self._block)
-                    await writer.drain()
+    async def answer(self, head: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send a sound answer or an endless one."""
+        if b"/own" in head:
+            writer.write(OWN)
+            return
+        writer.write(self._beginning)
+        while not writer.transport.is_closing():
+            writer.write(self._block)
+            self.sent_bytes += len(self._block)
+            await writer.drain()
 
 
 async def request(pool: ConnectionPool, target: str) -> bytes:
@@ -110,7 +88,7 @@
     its request.
     """
     async with EndlessServer(*answer) as server:
-        pool = server.build_pool()
+        pool = ConnectionPool(server.address, 1.0)
         started_at = time.monotonic()
         with pytest.raises(ExchangeError) as error_info:
             await asyncio.wait_for(request(pool, "/endless"), DEADLINE_SECONDS)
@@ -128,7 +106,7 @@
     at once; other requests to the server are answered meanwhile.
     """
     async with EndlessServer(*answer) as server:
-        pool = server.build_pool()
+        pool = ConnectionPool(server.address, 1.0)
         tasks = [asyncio.create_task(request(pool, "/endless")) for _ in range(8)]
         most_held = 0
         async with asyncio.timeout(DEADLINE_SECONDS):
--- a/tests/test_mesh_spoiled_answers.py
+++ b/tests/test_mesh_spoiled_answers.py
@@ -1,7 +1,6 @@
 """Answers of faulty backend servers, which add bytes that belong to no request."""
 
 import asyncio
-import contextlib
 
 import pytest
 
@@ -15,6 +14,8 @@
 from primroseglade.sidecar.http_client import ConnectionPool
 from primroseglade.sidecar.statements import NO_STATEMENTS
 
+from .mesh import FakeServer
+
 
 def build_answer(status: str, request_id: str, *lines: str, body: str = "") -> bytes:
     """Return a complete answer of a backend server."""
@@ -46,51 +47,23 @@
 PARTS_PAUSE_SECONDS = 0.002
 
 
-class FaultyServer:
+class FaultyServer(FakeServer):
     """Sends prepared answers to requests, by the ID in their target.
 
     Args:
         answers: Parts of each answer. The node reads each part separately.
-
-    Attributes:
-        connection_count: Number of connections that were opened.
     """
 
     def __init__(self, answers: dict[str, list[bytes]]):
+        super().__init__()
         self._answers = answers
-        self._server: asyncio.Server | None = None
-        self._writers: list[asyncio.StreamWriter] = []
-        self.connection_count = 0
-
-    async def __aenter__(self) -> "FaultyServer":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self
-
-    async def __aexit__(self, *exception: object) -> None:
-        assert self._server is not None
-        self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
-        await asyncio.sleep(0)
-
-    @property
-    def address(self) -> str:
-        """``IP:PORT`` of the server."""
-        assert self._server is not None
-        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.connection_count += 1
-        self._writers.append(writer)
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                request_id = head.split(b" ")[1].decode().removeprefix("/")
-                for part in self._answers[request_id]:
-                    writer.write(part)
-                    await asyncio.sleep(PARTS_PAUSE_SECONDS)
+
+    async def answer(self, head: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send the parts of an answer."""
+        request_id = head.split(b" ")[1].decode().removeprefix("/")
+        for part in self._answers[request_id]:
+            writer.write(part)
+            await asyncio.sleep(PARTS_PAUSE_SECONDS)
 
 
 async def exchange(connection: ClientConnection, request_id: str) -> ParsedAnswerHead:
